Run a gateway on the platform: the thin path

Cause: redwingmount spoke only its own interfaces; the platform's callers, store and upstreams speak others. Ruled out: translating in front of the old node, which would load owners, keys and the change chain that the platform makes needless. Change: a gateway under src/gateway with its decisions under src/core (gateway, placement, waiting), bound to the platform by platform/. The store's two topics are followed by reads that wait there, since upstreams' entries change only when more than their count does.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -8,7 +8,7 @@
 const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 const { version } = JSON.parse(readFileSync('package.json', 'utf8'));
 
-const bundle = (entry, outfile) =>
+const bundle = (entry, outfile, options = {}) =>
   build({
     entryPoints: [entry],
     outfile,
@@ -25,8 +25,15 @@
       'process.env.MSGPACKR_NATIVE_ACCELERATION_DISABLED': '"true"',
     },
     logLevel: 'warning',
+    ...options,
   });
 
+if (process.argv.includes('--platform')) {
+  // What the platform runs; without a source map, which would stay in memory.
+  await bundle('platform/main.ts', 'target/redwingmount.cjs', { sourcemap: false, minify: true });
+  process.exit(0);
+}
+
 await bundle('src/main.ts', 'dist/redwingmount.cjs');
 await bundle('standins/main.ts', 'dist/standins.cjs');
 
--- /dev/null
+++ b/src/core/gateway/attempt-outcome.ts
@@ -0,0 +1,48 @@
+/** What an attempt at an upstream came to. */
+export type AttemptOutcome =
+  /** The upstream's own answer, other than a failure. */
+  | { readonly kind: 'served' }
+  /** The upstream's own word that it failed; the request has run. */
+  | { readonly kind: 'failed'; readonly status: number }
+  /** The request has not run and never will. */
+  | { readonly kind: 'not-run'; readonly why: 'shed' | 'misdirected' | 'unreachable' }
+  /** The request may have run; there is no answer that could be passed on. */
+  | { readonly kind: 'unknown'; readonly why: string }
+  /** The caller has left. */
+  | { readonly kind: 'cancelled' };
+
+/** What is known of a request when an attempt has ended. */
+export interface RepeatQuestion {
+  readonly idempotent: boolean;
+  /** Upstreams that it has run on, or may have. */
+  readonly runs: number;
+  readonly maxRuns: number;
+  /** Whether enough time is left for another attempt. */
+  readonly hasTime: boolean;
+}
+
+/** What comes next: one more attempt, or the end. */
+export type NextStep =
+  | { readonly kind: 'end' }
+  /** `counted`: the first attempt reached an upstream, so that the next one is a repeat. */
+  | { readonly kind: 'repeat'; readonly counted: boolean };
+
+/**
+ * Whether a request goes to another upstream. What is not idempotent goes on only when it is known
+ * not to have run.
+ */
+export const nextStep = (outcome: AttemptOutcome, question: RepeatQuestion): NextStep => {
+  const { idempotent, runs, maxRuns, hasTime } = question;
+  switch (outcome.kind) {
+    case 'served':
+    case 'cancelled':
+      return { kind: 'end' };
+    case 'not-run':
+      return hasTime ? { kind: 'repeat', counted: outcome.why !== 'unreachable' } : { kind: 'end' };
+    case 'failed':
+    case 'unknown':
+      return idempotent && hasTime && runs < maxRuns
+        ? { kind: 'repeat', counted: true }
+        : { kind: 'end' };
+  }
+};
--- /dev/null
+++ b/src/core/gateway/index.ts
@@ -0,0 +1,5 @@
+export * from './routes';
+export * from './upstream-list';
+export * from './owners';
+export * from './repeat-allowance';
+export * from './attempt-outcome';
--- /dev/null
+++ b/src/core/gateway/repeat-allowance.ts
@@ -0,0 +1,48 @@
+import type { GatewayBounds, Instant } from '../../model';
+
+/** Part of the fleet's ratio that is spent; the rest covers windows that slide and late arrivals. */
+const RATIO_USED = 0.75;
+/** Part of the fleet's fixed allowance that is spent. */
+const BASE_USED = 0.6;
+
+interface Entry {
+  readonly at: Instant;
+}
+
+const dropBefore = (entries: Entry[], oldest: Instant): void => {
+  const keep = entries.findIndex(({ at }) => at > oldest);
+  entries.splice(0, keep < 0 ? entries.length : keep);
+};
+
+/**
+ * How many repeats one node may send to a service. Load pattern: a third of the upstreams fail and
+ * every node repeats; the nodes' parts add up to less than the fleet's bound without agreement,
+ * since the ratio is of each node's own requests and the fixed allowance is shared evenly.
+ */
+export class RepeatAllowance {
+  private readonly requests: Entry[] = [];
+
+  private readonly repeats: Entry[] = [];
+
+  constructor(
+    private readonly bounds: Pick<GatewayBounds, 'repeatRatio' | 'repeatBase' | 'repeatWindow'>,
+  ) {}
+
+  requested(now: Instant): void {
+    this.requests.push({ at: now });
+  }
+
+  /** Takes one repeat if there is one left. `sharers`: nodes that the fixed allowance is shared by. */
+  take(sharers: number, now: Instant): boolean {
+    const oldest = now - this.bounds.repeatWindow;
+    dropBefore(this.requests, oldest);
+    dropBefore(this.repeats, oldest);
+    const { repeatRatio, repeatBase } = this.bounds;
+    const allowed =
+      RATIO_USED * repeatRatio * this.requests.length +
+      (BASE_USED * repeatBase) / Math.max(1, sharers);
+    if (this.repeats.length + 1 > allowed) return false;
+    this.repeats.push({ at: now });
+    return true;
+  }
+}
--- /dev/null
+++ b/src/core/placement/track.ts
@@ -0,0 +1,109 @@
+import type { GatewayUpstream, Instant, Millis } from '../../model';
+
+import { learn, UNKNOWN, type Belief } from './spell';
+
+/** How long a report of an upstream's load says something of the load by other nodes. */
+const LOAD_REPORT_KEPT: Millis = 1000;
+/** Weight of the newest latency in the running mean. */
+const LATENCY_WEIGHT = 0.25;
+
+/** An upstream that refused a connection or is silent to it is left out for this long. */
+const UNREACHABLE_FOR: Millis = 1000;
+/** An upstream that shed a request is left out for this long. */
+const BUSY_FOR: Millis = 150;
+
+/** How an attempt ended, as far as it says something of the upstream. */
+export type Verdict = 'good' | 'bad' | 'busy' | 'unreachable' | 'none';
+
+/** A request on its way at an upstream. */
+interface Flight {
+  readonly startedAt: Instant;
+  /** When an answer is overdue; a hung upstream shows only by this. */
+  readonly overdueAt: Instant;
+}
+
+/** What one node knows of one run of an upstream. */
+export class Track {
+  belief: Belief = UNKNOWN;
+
+  /** When any node is known to have sent it a request; -Infinity if none. */
+  lastSentAt: Instant = Number.NEGATIVE_INFINITY;
+
+  private avoidUntil: Instant = Number.NEGATIVE_INFINITY;
+
+  /** Latency in parts of what its service's answers usually take. */
+  slowness = 1;
+
+  private readonly flights = new Map<string, Flight>();
+
+  private elsewhere = { count: 0, until: Number.NEGATIVE_INFINITY };
+
+  constructor(
+    public upstream: GatewayUpstream,
+    readonly knownSince: Instant,
+  ) {}
+
+  get inFlight(): number {
+    return this.flights.size;
+  }
+
+  /** Requests that it is thought to hold, from all nodes. */
+  load(now: Instant): number {
+    return this.flights.size + (now < this.elsewhere.until ? this.elsewhere.count : 0);
+  }
+
+  sent(requestId: string, now: Instant, overdueAt: Instant): void {
+    this.flights.set(requestId, { startedAt: now, overdueAt });
+    this.lastSentAt = now;
+  }
+
+  /** Requests without an answer past the time when one was due. */
+  overdue(now: Instant): number {
+    let count = 0;
+    this.flights.forEach(({ overdueAt }) => {
+      if (now >= overdueAt) count += 1;
+    });
+    return count;
+  }
+
+  ended(requestId: string): void {
+    this.flights.delete(requestId);
+  }
+
+  /** Takes the upstream's own word on its load, which includes this node's requests. */
+  reported(running: number, waiting: number, now: Instant): void {
+    const count = Math.max(0, running + waiting - this.flights.size);
+    this.elsewhere = { count, until: now + LOAD_REPORT_KEPT };
+  }
+
+  /** Whether it may be sent requests. */
+  isUsable(now: Instant): boolean {
+    return this.upstream.state === 'ready' && now >= this.avoidUntil;
+  }
+
+  learn(isGood: boolean, now: Instant): void {
+    this.belief = learn(this.belief, isGood, now);
+  }
+
+  /** Notes how an attempt ended. */
+  judge(verdict: Verdict, now: Instant): void {
+    switch (verdict) {
+      case 'good':
+      case 'bad':
+        this.learn(verdict === 'good', now);
+        return;
+      case 'busy':
+        this.avoidUntil = now + BUSY_FOR;
+        return;
+      case 'unreachable':
+        this.avoidUntil = now + UNREACHABLE_FOR;
+        break;
+      case 'none':
+    }
+  }
+
+  /** Takes an answer's latency in parts of the usual one. */
+  timed(ratio: number): void {
+    this.slowness += (ratio - this.slowness) * LATENCY_WEIGHT;
+  }
+}
--- /dev/null
+++ b/src/gateway/call.ts
@@ -0,0 +1,280 @@
+import { nextStep, type AttemptOutcome } from '../core/gateway';
+import type { Track, Verdict } from '../core/placement';
+import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../model';
+
+import { headerOf, type AnswerHead } from './answer-parser';
+import type { GatewayContext } from './context';
+import type { ServiceDesk } from './services';
+import type { AnswerBody, ExchangeResult } from './upstream-connection';
+import type { UpstreamPool } from './upstream-pool';
+
+/** A caller's request, read whole. */
+export interface CallerRequest {
+  readonly id: string;
+  readonly method: string;
+  /** Path and query as the caller sent them. */
+  readonly target: string;
+  readonly host: string;
+  /** Names and values in turn; without those that concern one connection only. */
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer;
+  readonly arrivedAt: Instant;
+  /** When the caller stops waiting. */
+  readonly deadline: Instant;
+  readonly signal: AbortSignal;
+}
+
+/** What a caller is told. */
+export type Reply =
+  /** An upstream's own answer. */
+  | { readonly kind: 'answer'; readonly head: AnswerHead; readonly body: AnswerBody }
+  /** This gateway's refusal; the request has not run. */
+  | { readonly kind: 'refused'; readonly why: string; readonly retryAfter: Millis }
+  /** The request has run or may have, and there is no answer. */
+  | { readonly kind: 'lost'; readonly why: string; readonly isLate: boolean }
+  /** The caller has left. */
+  | { readonly kind: 'nobody' };
+
+/** What a call shares with the others of its gateway. */
+export interface CallContext extends GatewayContext {
+  readonly pool: UpstreamPool;
+  /** Nodes that share a service's fixed allowance of repeats. */
+  readonly sharers: (service: string) => number;
+  /** Tells the other nodes what was seen of an upstream. */
+  readonly sighted: (desk: ServiceDesk, track: Track, isGood: boolean) => void;
+}
+
+/** The least time for an attempt to make sense, in parts of the usual latency. */
+const LEAST_ATTEMPT = 0.6;
+/** Part of the objective for which a request may wait, less what it usually takes to run. */
+const OBJECTIVE_FOR_START = 0.95;
+/** Part of the objective for which a request may wait in any case. */
+const LEAST_WAIT = 0.125;
+/** An attempt that could be repeated is given up after this many times the usual latency. */
+const PATIENCE = 4;
+/** Part of the remaining time that one attempt may use while another is possible. */
+const MOST_OF_REMAINING = 0.55;
+/** Retry-After where no upstream of a service is known; the store is read about once a second. */
+const NO_UPSTREAM_RETRY: Millis = 1000;
+const OK_CLASS = 2;
+const SERVER_ERROR_CLASS = 5;
+const MISDIRECTED = 421;
+
+const classOf = (status: number): number => Math.floor(status / 100);
+
+/** Statuses that say that a request has not run; only an upstream that says so besides is believed. */
+const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** One caller's request on its way through this gateway. */
+export class Call {
+  private readonly idempotent: boolean;
+
+  private readonly deadline: Instant;
+
+  private readonly tried = new Set<string>();
+
+  private runs = 0;
+
+  private sends = 0;
+
+  /** The last failure that an upstream gave as its own answer. */
+  private failure: Extract<Reply, { kind: 'answer' }> | undefined;
+
+  constructor(
+    private readonly context: CallContext,
+    private readonly request: CallerRequest,
+    private readonly route: GatewayRoute,
+    private readonly desk: ServiceDesk,
+  ) {
+    this.idempotent = isIdempotent(route.kind);
+    this.deadline = Math.min(request.deadline, request.arrivedAt + route.timeout);
+  }
+
+  async run(): Promise<Reply> {
+    this.desk.allowance.requested(this.context.clock.now());
+    const reply = await this.attempts();
+    if (reply.kind !== 'nobody') {
+      const isServed = reply.kind === 'answer' && classOf(reply.head.status) !== SERVER_ERROR_CLASS;
+      this.desk.book.finished(isServed, this.context.clock.now());
+    }
+    return reply;
+  }
+
+  private async attempts(): Promise<Reply> {
+    for (;;) {
+      const placed = await this.desk.place(this.placing(), this.request.id);
+      switch (placed.kind) {
+        case 'cancelled':
+          return { kind: 'nobody' };
+        case 'none':
+          return this.giveUp('no-upstream', NO_UPSTREAM_RETRY);
+        case 'refused':
+          return this.giveUp('no-room', placed.retryAfter);
+        case 'send': {
+          const { outcome, reply } = await this.attempt(placed.track, placed.why);
+          if (reply) return reply;
+          const refusal = this.afterFailure(outcome);
+          if (refusal) return refusal;
+        }
+      }
+    }
+  }
+
+  /** Undefined if the request goes to another upstream. */
+  private afterFailure(outcome: AttemptOutcome): Reply | undefined {
+    const now = this.context.clock.now();
+    if (outcome.kind === 'cancelled') return { kind: 'nobody' };
+    const step = nextStep(outcome, {
+      idempotent: this.idempotent,
+      runs: this.runs,
+      maxRuns: this.route.maxAttempts,
+      hasTime: this.deadline - now > LEAST_ATTEMPT * this.desk.book.usualLatency(this.route.name),
+    });
+    const why = outcome.kind === 'unknown' || outcome.kind === 'not-run' ? outcome.why : 'failed';
+    if (step.kind === 'end') return this.giveUp(why, NO_UPSTREAM_RETRY);
+    const isAllowed =
+      !step.counted || this.desk.allowance.take(this.context.sharers(this.desk.name), now);
+    if (!isAllowed) return this.giveUp('no-repeat-left', NO_UPSTREAM_RETRY);
+    return undefined;
+  }
+
+  /** The final answer where there is no upstream to go to. */
+  private giveUp(why: string, retryAfter: Millis): Reply {
+    if (this.failure) return this.failure;
+    if (this.runs === 0) return { kind: 'refused', why, retryAfter };
+    return { kind: 'lost', why, isLate: this.context.clock.now() >= this.deadline };
+  }
+
+  private placing(): Parameters<ServiceDesk['place']>[0] {
+    const { arrivedAt, signal } = this.request;
+    const usual = this.desk.book.usualLatency(this.route.name);
+    const inObjective = arrivedAt + OBJECTIVE_FOR_START * this.route.objective - usual;
+    return {
+      idempotent: this.idempotent,
+      tried: this.tried,
+      priority: this.route.priority,
+      arrivedAt: this.context.clock.now(),
+      startBy: Math.max(inObjective, arrivedAt + LEAST_WAIT * this.route.objective),
+      signal,
+      route: this.route.name,
+    };
+  }
+
+  private attemptDeadline(now: Instant): Instant {
+    const mayRepeat = this.idempotent && this.runs + 1 < this.route.maxAttempts;
+    if (!mayRepeat) return this.deadline;
+    const patience = PATIENCE * this.desk.book.usualLatency(this.route.name);
+    return now + Math.max(patience, MOST_OF_REMAINING * (this.deadline - now));
+  }
+
+  private async attempt(
+    track: Track,
+    why: string,
+  ): Promise<{ readonly outcome: AttemptOutcome; readonly reply?: Reply }> {
+    const { clock, pool, telemetry } = this.context;
+    const { upstream } = track;
+    const sentAt = clock.now();
+    this.tried.add(upstream.id);
+    this.sends += 1;
+    const result = await pool.run(upstream, {
+      requestId: this.request.id,
+      method: this.request.method,
+      bytes: () => this.encode(upstream.id),
+      deadline: Math.min(this.deadline, this.attemptDeadline(sentAt)),
+      signal: this.request.signal,
+      idempotent: this.idempotent,
+    });
+    const now = clock.now();
+    const outcome = this.outcomeOf(result);
+    const isStream = result.kind === 'answered' && result.body.kind === 'stream';
+    this.note(track, outcome, result, now - sentAt);
+    if (isStream) result.body.stream.once('close', () => this.desk.release(track, this.request.id));
+    else this.desk.release(track, this.request.id);
+    if (outcome.kind === 'failed' || outcome.kind === 'unknown') this.runs += 1;
+    telemetry.event('attempt', {
+      request: this.request.id,
+      route: this.route.name,
+      service: this.desk.name,
+      upstream: upstream.id,
+      placed: why,
+      number: this.sends,
+      outcome: outcome.kind,
+      ...('why' in outcome ? { why: outcome.why } : {}),
+      ...('status' in outcome ? { status: outcome.status } : {}),
+      tookMs: Math.round(now - sentAt),
+      inFlight: track.inFlight,
+    });
+    if (result.kind !== 'answered') return { outcome };
+    const reply = { kind: 'answer', head: result.head, body: result.body } as const;
+    if (outcome.kind === 'served') return { outcome, reply };
+    if (outcome.kind === 'failed' && !PROMISES_NOT_RUN.has(result.head.status)) {
+      this.failure = reply;
+    }
+    return { outcome };
+  }
+
+  private outcomeOf(result: ExchangeResult): AttemptOutcome {
+    if (result.kind === 'failed') {
+      if (result.why === 'cancelled') return { kind: 'cancelled' };
+      return result.sent
+        ? { kind: 'unknown', why: result.why }
+        : { kind: 'not-run', why: 'unreachable' };
+    }
+    const { status, rawHeaders } = result.head;
+    const { dialect } = this.context;
+    if (headerOf(rawHeaders, dialect.notRun) !== undefined) {
+      return { kind: 'not-run', why: status === MISDIRECTED ? 'misdirected' : 'shed' };
+    }
+    if (status === MISDIRECTED) return { kind: 'not-run', why: 'misdirected' };
+    if (classOf(status) === SERVER_ERROR_CLASS || PROMISES_NOT_RUN.has(status)) {
+      return { kind: 'failed', status };
+    }
+    const isGenuine =
+      headerOf(rawHeaders, dialect.requestId) === this.request.id &&
+      headerOf(rawHeaders, 'content-encoding') === undefined &&
+      (classOf(status) !== OK_CLASS || headerOf(rawHeaders, dialect.signature) !== undefined);
+    return isGenuine ? { kind: 'served' } : { kind: 'unknown', why: 'not-genuine' };
+  }
+
+  /** Notes what an attempt showed of its upstream. */
+  private note(track: Track, outcome: AttemptOutcome, result: ExchangeResult, took: Millis): void {
+    const { clock, dialect, sighted } = this.context;
+    const { book } = this.desk;
+    const now = clock.now();
+    const verdict = ((): Verdict => {
+      switch (outcome.kind) {
+        case 'served':
+          return 'good';
+        case 'failed':
+        case 'unknown':
+          return 'bad';
+        case 'not-run':
+          return outcome.why === 'shed' ? 'busy' : 'unreachable';
+        case 'cancelled':
+          return 'none';
+      }
+    })();
+    track.judge(verdict, now);
+    if (outcome.kind === 'served') book.timed(track, this.route.name, took);
+    if (verdict === 'good' || verdict === 'bad') sighted(this.desk, track, verdict === 'good');
+    if (result.kind !== 'answered') return;
+    const load = dialect.loadOf((name) => headerOf(result.head.rawHeaders, name));
+    if (load) track.reported(load.running, load.waiting, now);
+  }
+
+  private encode(upstreamId: string): Buffer {
+    const { dialect, clock } = this.context;
+    const { request } = this;
+    const remaining = Math.max(1, Math.floor(this.deadline - clock.now()));
+    const lines = [`${request.method} ${request.target} HTTP/1.1`];
+    const { rawHeaders } = request;
+    for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+      lines.push(`${rawHeaders[i]}: ${rawHeaders[i + 1]}`);
+    }
+    lines.push(`${dialect.remainingMs}: ${remaining}`, `${dialect.onlyUpstream}: ${upstreamId}`);
+    const hasBody = request.body.length > 0 || !['GET', 'HEAD'].includes(request.method);
+    if (hasBody) lines.push(`content-length: ${request.body.length}`);
+    const head = Buffer.from(`${lines.join('\r\n')}\r\n\r\n`, 'latin1');
+    return hasBody ? Buffer.concat([head, request.body]) : head;
+  }
+}
--- /dev/null
+++ b/src/gateway/context.ts
@@ -0,0 +1,10 @@
+import type { GatewaySettings } from '../model';
+import type { Clock, Dialect, Telemetry } from '../ports';
+
+/** What every part of a gateway works with. */
+export interface GatewayContext {
+  readonly settings: GatewaySettings;
+  readonly clock: Clock;
+  readonly telemetry: Telemetry;
+  readonly dialect: Dialect;
+}
--- /dev/null
+++ b/src/gateway/follower.ts
@@ -0,0 +1,123 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import type { Instant, Millis } from '../model';
+import type { Clock, Feed, FeedFault, FeedPage, Telemetry } from '../ports';
+
+/** How long a read waits at the store for something new; a hung one is noticed after it. */
+const WAIT: Millis = 8000;
+/** Time allowed for one read beside the wait; the store answers in milliseconds. */
+const READ_TIME: Millis = 800;
+/** Pause after a read that failed. */
+const RETRY_AFTER: Millis = 250;
+/** Time for the own read to bring what a peer has already read. */
+const PEER_LEAD: Millis = 150;
+
+/**
+ * Follows a feed of the store by reads that wait there for something new. A read may hang on a
+ * connection that has gone silent; peers make up for that, as they say how far they have read.
+ */
+export class Follower<T> {
+  /** Where to read on; undefined when all has to be read. */
+  private position: number | undefined;
+
+  /** The furthest position so far; a whole reading from before it is out of date. */
+  private furthest = -1;
+
+  /** When the last reading that succeeded ended. */
+  private readAt: Instant = Number.NEGATIVE_INFINITY;
+
+  private hinted: number | undefined;
+
+  private isReachable = true;
+
+  private closed = false;
+
+  constructor(
+    private readonly name: string,
+    private readonly feed: Feed<T>,
+    private readonly clock: Clock,
+    private readonly telemetry: Telemetry,
+    private readonly onPage: (page: FeedPage<T>) => void,
+  ) {}
+
+  /** How far the feed has been read; -1 before the first reading. */
+  get head(): number {
+    return this.furthest;
+  }
+
+  /** Milliseconds since the last good reading; -1 before the first. */
+  age(now: Instant): Millis {
+    return this.furthest < 0 ? -1 : now - this.readAt;
+  }
+
+  /** Reads until closed. */
+  async follow(): Promise<void> {
+    while (!this.closed) {
+      await this.read(WAIT);
+      if (!this.isReachable) await sleep(RETRY_AFTER);
+    }
+  }
+
+  /** Takes a peer's word that the feed goes further. */
+  hint(head: number): void {
+    if (head <= this.furthest || this.hinted !== undefined) return;
+    this.hinted = head;
+    void sleep(PEER_LEAD).then(async () => {
+      if (!this.closed && head > this.furthest) await this.read(0);
+      this.hinted = undefined;
+    });
+  }
+
+  close(): void {
+    this.closed = true;
+  }
+
+  private async read(wait: Millis): Promise<void> {
+    const deadline = this.clock.now() + wait + READ_TIME;
+    const { position } = this;
+    const page =
+      position === undefined
+        ? await this.feed.readNewest(deadline)
+        : await this.feed.readSince(position, wait, deadline);
+    if (this.closed) return;
+    page.caseOf({
+      Left: (fault) => this.onFault(fault),
+      Right: (read) => this.onRead(read),
+    });
+  }
+
+  private onRead(page: FeedPage<T>): void {
+    if (page.whole && page.position < this.furthest) {
+      this.onFault({ kind: 'malformed', detail: 'a reading from before the last one' });
+      return;
+    }
+    if (!this.isReachable) this.telemetry.event('feed-regained', { feed: this.name });
+    this.isReachable = true;
+    this.readAt = this.clock.now();
+    // Two reads may overlap; the one that got further counts.
+    if (page.position >= this.furthest) this.position = page.position;
+    this.furthest = Math.max(this.furthest, page.position);
+    this.onPage(page);
+  }
+
+  private onFault(fault: FeedFault): void {
+    this.telemetry.count('feed_faults', { feed: this.name, kind: fault.kind });
+    switch (fault.kind) {
+      case 'position-gone':
+        this.position = undefined;
+        this.telemetry.event('feed-history-lost', { feed: this.name, head: this.furthest });
+        return;
+      case 'refused':
+      case 'unreachable':
+      case 'malformed':
+        if (!this.isReachable) return;
+        this.isReachable = false;
+        this.telemetry.event('feed-lost', {
+          feed: this.name,
+          kind: fault.kind,
+          detail: fault.kind === 'refused' ? fault.status : fault.detail,
+          ageMs: Math.round(this.age(this.clock.now())),
+        });
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/services.ts
@@ -0,0 +1,164 @@
+import { RepeatAllowance } from '../core/gateway';
+import { ServiceBook, type Placement, type PlacementRequest, type Track } from '../core/placement';
+import { WaitingLine, type Waiter } from '../core/waiting';
+import type { GatewayUpstream, Instant, Millis, ServiceName, UpstreamId } from '../model';
+
+import type { GatewayContext } from './context';
+
+/** How often waiting requests are looked at beside the moments when a slot is freed. */
+const WAITING_PERIOD: Millis = 25;
+
+/** What a request needs to be placed. */
+export interface Placing extends PlacementRequest, Waiter {
+  readonly signal: AbortSignal;
+  /** The route, whose requests take alike. */
+  readonly route: string;
+}
+
+/** Where a request goes, or why it goes nowhere. */
+export type Placed =
+  | Extract<Placement, { kind: 'send' }>
+  | { readonly kind: 'none' }
+  | { readonly kind: 'refused'; readonly retryAfter: Millis; readonly waited: Millis }
+  | { readonly kind: 'cancelled' };
+
+/** What a waiting request asks of its desk. */
+interface WaitingPorts {
+  attempt(): Placed | undefined;
+  refusal(): Placed;
+  settle(placed: Placed): void;
+}
+
+/** A request that waits until it is placed, has waited too long, or its caller leaves. */
+class Waiting implements Waiter {
+  readonly priority: number;
+
+  readonly arrivedAt: Instant;
+
+  readonly startBy: Instant;
+
+  constructor(
+    private readonly request: Placing,
+    private readonly ports: WaitingPorts,
+  ) {
+    ({ priority: this.priority, arrivedAt: this.arrivedAt, startBy: this.startBy } = request);
+    request.signal.addEventListener('abort', this.onAbort, { once: true });
+  }
+
+  /** Tries to place the request; true when it is settled. */
+  attempt(): boolean {
+    const placed = this.ports.attempt();
+    if (placed) this.settle(placed);
+    return placed !== undefined;
+  }
+
+  expire(): void {
+    this.settle(this.ports.refusal());
+  }
+
+  private readonly onAbort = (): void => this.settle({ kind: 'cancelled' });
+
+  private settle(placed: Placed): void {
+    this.request.signal.removeEventListener('abort', this.onAbort);
+    this.ports.settle(placed);
+  }
+}
+
+/** One service at this gateway: its upstreams, who waits for them, and its repeats. */
+export class ServiceDesk {
+  readonly book: ServiceBook;
+
+  readonly allowance: RepeatAllowance;
+
+  private readonly line = new WaitingLine<Waiting>();
+
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    readonly name: ServiceName,
+    private readonly context: GatewayContext,
+  ) {
+    this.book = new ServiceBook(name, context.settings.dataCentre);
+    this.allowance = new RepeatAllowance(context.settings.bounds);
+  }
+
+  get waiting(): number {
+    return this.line.length;
+  }
+
+  /** Chooses an upstream, now or when one has room, and counts the request as sent there. */
+  place(request: Placing, requestId: string): Promise<Placed> {
+    const first = this.tryPlace(request, requestId);
+    if (first) return Promise.resolve(first);
+    const now = this.context.clock.now();
+    const load = { slots: this.book.slots, usualLatency: this.book.usualLatency(request.route) };
+    const admission = this.line.admit(request, load);
+    if (admission.kind === 'refuse') {
+      return Promise.resolve({ kind: 'refused', retryAfter: admission.retryAfter, waited: 0 });
+    }
+    return new Promise((resolve) => {
+      const waiting = new Waiting(request, {
+        attempt: () => this.tryPlace(request, requestId),
+        refusal: () => ({
+          kind: 'refused',
+          retryAfter: this.line.expectedWait(request.priority, load),
+          waited: this.context.clock.now() - now,
+        }),
+        settle: (placed) => {
+          this.line.remove(waiting);
+          resolve(placed);
+        },
+      });
+      this.line.add(waiting);
+      this.wake();
+    });
+  }
+
+  /** Lets waiting requests have what room there is. */
+  advance(): void {
+    this.line.expired(this.context.clock.now()).forEach((waiting) => waiting.expire());
+    for (;;) {
+      const first = this.line.first();
+      if (!first?.attempt()) return;
+    }
+  }
+
+  put(upstream: GatewayUpstream): void {
+    this.book.put(upstream, this.context.clock.now());
+    this.advance();
+  }
+
+  remove(id: UpstreamId): void {
+    this.book.remove(id);
+    this.advance();
+  }
+
+  /** Ends an attempt's claim on its slot. */
+  release(track: Track, requestId: string): void {
+    track.ended(requestId);
+    this.advance();
+  }
+
+  private tryPlace(request: Placing, requestId: string): Placed | undefined {
+    const now: Instant = this.context.clock.now();
+    const placement = this.book.place(request, now);
+    switch (placement.kind) {
+      case 'send':
+        placement.track.sent(requestId, now, now + this.book.overdueAfter(request.route));
+        return placement;
+      case 'none':
+        return { kind: 'none' };
+      case 'full':
+        return undefined;
+    }
+  }
+
+  private wake(): void {
+    if (this.timer) return;
+    this.timer = setTimeout(() => {
+      this.timer = undefined;
+      this.advance();
+      if (this.line.length > 0) this.wake();
+    }, WAITING_PERIOD);
+  }
+}
--- /dev/null
+++ b/src/gateway/small-servers.ts
@@ -0,0 +1,43 @@
+import http, { type Server } from 'node:http';
+
+import type { DirectoryCodec, DirectoryQuestion, ReadinessCodec } from '../ports';
+
+const OK = 200;
+const NOT_FOUND = 404;
+const SERVICE_UNAVAILABLE = 503;
+
+/** Says whether this gateway takes callers. */
+export const createReadinessServer = (codec: ReadinessCodec, isReady: () => boolean): Server =>
+  http.createServer((req, res) => {
+    req.resume();
+    if (!codec.isQuestion(req.url ?? '')) res.statusCode = NOT_FOUND;
+    else res.statusCode = isReady() ? OK : SERVICE_UNAVAILABLE;
+    res.end();
+  });
+
+/** What the directory answers from. */
+export interface DirectoryService {
+  readonly ttlSeconds: number;
+  /** Callers' addresses of the gateways to use, `ip:port`; empty if none is known. */
+  addressesFor(question: DirectoryQuestion): readonly string[];
+}
+
+/** Tells callers where to connect. */
+export const createDirectoryServer = (codec: DirectoryCodec, service: DirectoryService): Server =>
+  http.createServer((req, res) => {
+    req.resume();
+    const question = codec.decode(req.url ?? '');
+    if (!question) {
+      res.statusCode = NOT_FOUND;
+      res.end();
+      return;
+    }
+    const addresses = service.addressesFor(question);
+    if (addresses.length === 0) {
+      res.statusCode = SERVICE_UNAVAILABLE;
+      res.end();
+      return;
+    }
+    res.writeHead(OK, { 'content-type': 'application/json' });
+    res.end(codec.encode(addresses, service.ttlSeconds));
+  });
--- /dev/null
+++ b/src/gateway/upstream-pool.ts
@@ -0,0 +1,89 @@
+import type { Endpoint, GatewayUpstream, Instant, Millis } from '../model';
+import type { Clock } from '../ports';
+
+import { UpstreamConnection, type Exchange, type ExchangeResult } from './upstream-connection';
+
+/** Time to connect; within a region a healthy upstream takes a millisecond. */
+const CONNECT_TIME: Millis = 500;
+/** A request that can't be repeated takes a connection only if it was used this recently. */
+const FRESH_FOR: Millis = 2000;
+/** Idle connections kept to one upstream. */
+const MOST_IDLE = 8;
+
+/** An exchange, and whether it may be sent on a connection that might be closing. */
+export interface PooledExchange extends Exchange {
+  readonly idempotent: boolean;
+}
+
+const keyOf = ({ id, born, endpoint }: GatewayUpstream): string =>
+  `${id} ${born} ${endpoint.address}:${endpoint.port}`;
+
+/** Connections to upstreams; those of one run of an upstream are never used for another. */
+export class UpstreamPool {
+  private readonly idle = new Map<string, UpstreamConnection[]>();
+
+  private readonly open = new Set<UpstreamConnection>();
+
+  /** New connections so far. */
+  connects = 0;
+
+  constructor(
+    private readonly idHeader: string,
+    private readonly clock: Clock,
+  ) {}
+
+  run(upstream: GatewayUpstream, exchange: PooledExchange): Promise<ExchangeResult> {
+    const now = this.clock.now();
+    const key = keyOf(upstream);
+    const connection = this.takeIdle(key, exchange.idempotent, now);
+    const connectBy: Instant = Math.min(now + CONNECT_TIME, exchange.deadline);
+    return (connection ?? this.connect(key, upstream.endpoint)).run(exchange, connectBy);
+  }
+
+  /** Closes the connections of an upstream that has left; those in use end with their request. */
+  forget(upstream: GatewayUpstream): void {
+    const key = keyOf(upstream);
+    const idle = this.idle.get(key) ?? [];
+    this.idle.delete(key);
+    idle.forEach((connection) => connection.close());
+  }
+
+  close(): void {
+    this.open.forEach((connection) => connection.close());
+  }
+
+  private connect(key: string, endpoint: Endpoint): UpstreamConnection {
+    this.connects += 1;
+    const connection = new UpstreamConnection(
+      endpoint,
+      this.idHeader,
+      this.clock,
+      (idle) => {
+        const list = this.idle.get(key) ?? [];
+        list.push(idle);
+        this.idle.set(key, list);
+        if (list.length > MOST_IDLE) list.shift()?.close();
+      },
+      (closed) => {
+        this.open.delete(closed);
+        const list = this.idle.get(key);
+        const at = list?.indexOf(closed) ?? -1;
+        if (list && at >= 0) list.splice(at, 1);
+        if (list?.length === 0) this.idle.delete(key);
+      },
+    );
+    this.open.add(connection);
+    return connection;
+  }
+
+  private takeIdle(key: string, idempotent: boolean, now: Instant): UpstreamConnection | undefined {
+    const list = this.idle.get(key) ?? [];
+    for (;;) {
+      const connection = list.pop();
+      if (!connection) return undefined;
+      const isFresh = idempotent || now - connection.idleSince < FRESH_FOR;
+      if (connection.isOpen && now < connection.usableUntil && isFresh) return connection;
+      connection.close();
+    }
+  }
+}
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -11,3 +11,4 @@
 export * from './attempt';
 export * from './body-error';
 export * from './settings';
+export * from './gateway';
--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -7,3 +7,5 @@
 export * from './upstream-client';
 export * from './caller-service';
 export * from './whole-body';
+export * from './feed';
+export * from './dialect';
