Learn of ill upstreams for as long as they stay ill; gather reads

Cause: a play with all logs showed spells of some 9 s, not 3, so that ill upstreams were tried again too soon; every node tried upstreams that it had not used itself as newcomers (108 of 327 failed); work was spread at 5% unserved, which fed itself (133 failures); each of 40 nodes read the store once for each of 39 upstreams that registered. Ruled out: detection after the first failure (20 of 1,230 on proven ones). Change: memory of 9 s; newcomers only by owners and only those that join a service at work; spread from 8% and three failures in the floor's window; a pause of 700 ms after news; bytes from other data centres counted.

--- a/src/core/placement/choose.ts
+++ b/src/core/placement/choose.ts
@@ -6,6 +6,8 @@
 /** What a request asks of its upstream. */
 export interface PlacementRequest {
   readonly idempotent: boolean;
+  /** What its answer usually has. */
+  readonly usualBytes: number;
   /** Upstreams that it has been sent to. */
   readonly tried: ReadonlySet<UpstreamId>;
 }
@@ -26,14 +28,20 @@
 export interface PlacementView {
   readonly now: Instant;
   readonly dataCentre: DataCentre;
+  /** Whether this node hears what others send to the service. */
+  readonly isOwner: boolean;
   /** Work must reach more of the upstreams, as too many requests go unserved. */
   readonly spread: boolean;
 }
 
 /** Costs are in chances of failure, so that they can be added to one. */
 const COST = {
-  /** Another data centre: its bytes are paid for, and its links fail more often. */
+  /** Another data centre: its links fail more often. */
   otherDataCentre: 0.004,
+  /** Each kilobyte of an answer from another data centre; the users pay for these bytes. */
+  otherDataCentreKb: 0.0025,
+  /** The most that bytes from another data centre count; an ill upstream near by is worse. */
+  otherDataCentreMost: 0.12,
   /** An upstream with all slots taken; some slow down when they are nearly full. */
   fullLoad: 0.01,
   /** Each whole multiple of the usual latency beyond the first. */
@@ -44,6 +52,7 @@
   overdue: 0.25,
 } as const;
 
+const BYTES_PER_KB = 1024;
 /** A chance of failure up to which an upstream counts as proven. */
 export const PROVEN = 0.1;
 /** A newcomer is given work when it has been known for this long and nobody has used it. */
@@ -53,12 +62,20 @@
 
 const hasRoom = (track: Track, now: Instant): boolean => track.load(now) < track.upstream.slots;
 
+const distanceCost = (bytes: number): number =>
+  COST.otherDataCentre +
+  Math.min(COST.otherDataCentreMost, (COST.otherDataCentreKb * bytes) / BYTES_PER_KB);
+
 /** What a request sent there now is expected to lose, in chances of failure. */
-export const costOf = (track: Track, { now, dataCentre }: PlacementView): number => {
+export const costOf = (
+  track: Track,
+  { usualBytes }: PlacementRequest,
+  { now, dataCentre }: PlacementView,
+): number => {
   const { upstream } = track;
   return (
     failureChance(track.belief, now) +
-    (upstream.dataCentre === dataCentre ? 0 : COST.otherDataCentre) +
+    (upstream.dataCentre === dataCentre ? 0 : distanceCost(usualBytes)) +
     (COST.fullLoad * track.load(now)) / upstream.slots +
     COST.slowness * Math.max(0, track.slowness - 1) +
     (now < upstream.warmAt ? COST.cold : 0) +
@@ -83,7 +100,8 @@
   tracks.find(
     (track) =>
       track.lastSentAt === Number.NEGATIVE_INFINITY &&
-      now - track.knownSince >= NEWCOMER_AFTER &&
+      track.joinedAt !== undefined &&
+      now - track.joinedAt >= NEWCOMER_AFTER &&
       now >= track.upstream.warmAt,
   );
 
@@ -104,7 +122,7 @@
   if (usable.length === 0) return { kind: 'none' };
   const roomy = usable.filter((track) => hasRoom(track, now));
   if (roomy.length === 0) return { kind: 'full' };
-  if (request.tried.size === 0) {
+  if (request.tried.size === 0 && view.isOwner) {
     const newcomer = newcomerOf(roomy, now);
     if (newcomer) return { kind: 'send', track: newcomer, why: 'newcomer' };
     if (view.spread) {
@@ -114,7 +132,7 @@
       }
     }
   }
-  const best = least(roomy, (track) => costOf(track, view));
+  const best = least(roomy, (track) => costOf(track, request, view));
   if (!best) return { kind: 'full' };
   const why = failureChance(best.belief, now) <= PROVEN ? 'proven' : 'trial';
   return { kind: 'send', track: best, why };
--- a/src/core/placement/service-book.ts
+++ b/src/core/placement/service-book.ts
@@ -10,15 +10,22 @@
 import { choose, type Placement, type PlacementRequest } from './choose';
 import { Track } from './track';
 
-/** Span over which unserved requests are counted; the floor's window is 2 s. */
-const UNSERVED_WINDOW: Millis = 1500;
+/** Span over which unserved requests are counted; the floor's window. */
+const UNSERVED_WINDOW: Millis = 2000;
 /** Share of unserved requests at which work is spread; the floor binds from a tenth. */
-const SPREAD_FROM = 0.05;
-/** Fewer requests than this in the window say nothing. */
-const SPREAD_SAMPLE = 6;
-/** What an answer is assumed to take before any was seen. */
-const FIRST_LATENCY: Millis = 300;
-const LATENCY_WEIGHT = 0.05;
+const SPREAD_FROM = 0.08;
+/** Fewer unserved requests than this in the window say nothing. */
+const SPREAD_SAMPLE = 3;
+/** Latency and length of a route's answers. */
+export interface UsualAnswer {
+  readonly latency: Millis;
+  readonly bytes: number;
+}
+
+/** What an answer is assumed to be like before any was seen. */
+const FIRST_ANSWER: UsualAnswer = { latency: 300, bytes: 4096 };
+/** Weight of the newest answer in the running means. */
+const USUAL_WEIGHT = 0.05;
 /** An answer is overdue after this many times the usual latency, and at least this long. */
 const OVERDUE_FACTOR = 5;
 const OVERDUE_LEAST: Millis = 600;
@@ -44,8 +51,8 @@
 
   private served: Served[] = [];
 
-  /** Usual latencies by route, since a route's requests are alike. */
-  private readonly usual = new Map<string, Millis>();
+  /** What answers are usually like, by route, since a route's requests are alike. */
+  private readonly usual = new Map<string, UsualAnswer>();
 
   constructor(
     readonly name: ServiceName,
@@ -71,7 +78,8 @@
   put(upstream: GatewayUpstream, now: Instant): void {
     const known = this.tracks.get(upstream.id);
     if (known && known.upstream.born === upstream.born) known.upstream = upstream;
-    else this.tracks.set(upstream.id, new Track(upstream, now));
+    else
+      this.tracks.set(upstream.id, new Track(upstream, this.served.length > 0 ? now : undefined));
     this.list = [...this.tracks.values()];
   }
 
@@ -80,28 +88,38 @@
     this.list = [...this.tracks.values()];
   }
 
-  place(request: PlacementRequest, now: Instant): Placement {
+  /** `isOwner`: this node gets its share of the service's requests, and hears what others saw. */
+  place(request: PlacementRequest, isOwner: boolean, now: Instant): Placement {
     return choose(this.list, request, {
       now,
       dataCentre: this.dataCentre,
+      isOwner,
       spread: this.isShort(now),
     });
   }
 
   /** What an answer on a route usually takes. */
   usualLatency(route: string): Millis {
-    return this.usual.get(route) ?? FIRST_LATENCY;
+    return (this.usual.get(route) ?? FIRST_ANSWER).latency;
+  }
+
+  /** How long an answer's body on a route usually is. */
+  usualBytes(route: string): number {
+    return (this.usual.get(route) ?? FIRST_ANSWER).bytes;
   }
 
   overdueAfter(route: string): Millis {
     return Math.max(OVERDUE_LEAST, OVERDUE_FACTOR * this.usualLatency(route));
   }
 
-  /** Notes an answer's latency. */
-  timed(track: Track, route: string, latency: Millis): void {
-    const usual = this.usualLatency(route);
-    track.timed(latency / Math.max(1, usual));
-    this.usual.set(route, usual + (latency - usual) * LATENCY_WEIGHT);
+  /** Notes an answer's latency and length. */
+  answered(track: Track, route: string, { latency, bytes }: UsualAnswer): void {
+    const usual = this.usual.get(route) ?? { latency: FIRST_ANSWER.latency, bytes };
+    track.timed(latency / Math.max(1, usual.latency));
+    this.usual.set(route, {
+      latency: usual.latency + (latency - usual.latency) * USUAL_WEIGHT,
+      bytes: usual.bytes + (bytes - usual.bytes) * USUAL_WEIGHT,
+    });
   }
 
   /** Takes what another node saw. */
@@ -120,8 +138,7 @@
   /** Whether so many requests go unserved that the floor asks for more upstreams in use. */
   isShort(now: Instant): boolean {
     this.served = this.served.filter(({ at }) => at > now - UNSERVED_WINDOW);
-    if (this.served.length < SPREAD_SAMPLE) return false;
     const unserved = this.served.filter(({ served }) => !served).length;
-    return unserved / this.served.length > SPREAD_FROM;
+    return unserved >= SPREAD_SAMPLE && unserved / this.served.length > SPREAD_FROM;
   }
 }
--- a/src/core/placement/spell.ts
+++ b/src/core/placement/spell.ts
@@ -7,8 +7,8 @@
 export const SPELL_MODEL = {
   /** Share of the time that an upstream is ill; from the users' sites, three in ten. */
   illShare: 0.3,
-  /** How fast knowledge fades; from spells of about 3 s in every 9 s. */
-  memory: 1900 as Millis,
+  /** How fast knowledge fades; upstreams on the users' sites change about every 9 s. */
+  memory: 9000 as Millis,
   /** Share of failures while ill; from the users' sites. */
   failsIll: 0.75,
   /** Share of failures while well; from the users' sites. */
--- a/src/core/placement/track.ts
+++ b/src/core/placement/track.ts
@@ -40,7 +40,8 @@
 
   constructor(
     public upstream: GatewayUpstream,
-    readonly knownSince: Instant,
+    /** When it joined a service at work; undefined if it was there before. */
+    readonly joinedAt: Instant | undefined,
   ) {}
 
   get inFlight(): number {
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -152,6 +152,7 @@
     return {
       idempotent: this.idempotent,
       tried: this.tried,
+      usualBytes: this.desk.book.usualBytes(this.route.name),
       priority: this.route.priority,
       arrivedAt: this.context.clock.now(),
       startBy: Math.max(inObjective, arrivedAt + LEAST_WAIT * this.route.objective),
@@ -255,7 +256,11 @@
       }
     })();
     track.judge(verdict, now);
-    if (outcome.kind === 'served') book.timed(track, this.route.name, took);
+    if (outcome.kind === 'served' && result.kind === 'answered') {
+      const { head, body } = result;
+      const bytes = body.kind === 'whole' ? body.bytes.length : (head.length ?? 0);
+      book.answered(track, this.route.name, { latency: took, bytes });
+    }
     if (verdict === 'good' || verdict === 'bad') sighted(this.desk, track, verdict === 'good');
     if (result.kind !== 'answered') return;
     const load = dialect.loadOf((name) => headerOf(result.head.rawHeaders, name));
--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -9,8 +9,10 @@
 const READ_TIME: Millis = 800;
 /** Pause after a read that failed. */
 const RETRY_AFTER: Millis = 250;
+/** Pause after something new, so that a run of changes costs few reads; a third of the users' bounds. */
+const GATHER: Millis = 700;
 /** Time for the own read to bring what a peer has already read. */
-const PEER_LEAD: Millis = 150;
+const PEER_LEAD: Millis = GATHER + 200;
 
 /**
  * Follows a feed of the store by reads that wait there for something new. A read may hang on a
@@ -53,8 +55,10 @@
   /** Reads until closed. */
   async follow(): Promise<void> {
     while (!this.closed) {
+      const before = this.furthest;
       await this.read(WAIT);
       if (!this.isReachable) await sleep(RETRY_AFTER);
+      else if (this.furthest > before) await sleep(GATHER);
     }
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -96,6 +96,9 @@
 
   private members: readonly Member[] = [];
 
+  /** Owners by service; emptied when the members or the routes change. */
+  private readonly owners = new Map<ServiceName, readonly Member[]>();
+
   private ticker: NodeJS.Timeout | undefined;
 
   private stopping = false;
@@ -262,7 +265,7 @@
   private desk(service: ServiceName): ServiceDesk {
     const known = this.desks.get(service);
     if (known) return known;
-    const desk = new ServiceDesk(service, this.context);
+    const desk = new ServiceDesk(service, this.context, () => this.isOwnerOf(service));
     this.desks.set(service, desk);
     return desk;
   }
@@ -279,6 +282,7 @@
           if (config.version <= inForce) return;
           this.routes = new HostRoutes(config);
           this.dealer.clear();
+          this.owners.clear();
           this.callers.applyLimits();
           this.context.telemetry.event('config-in-force', {
             version: config.version,
@@ -332,6 +336,14 @@
 
   /** The gateways that callers of a service's hosts are sent to, in all data centres. */
   private ownersFor(service: ServiceName): readonly Member[] {
+    const known = this.owners.get(service);
+    if (known) return known;
+    const owners = this.findOwners(service);
+    this.owners.set(service, owners);
+    return owners;
+  }
+
+  private findOwners(service: ServiceName): readonly Member[] {
     const hosts = [...(this.routes?.config.hosts ?? [])]
       .filter(([, routes]) =>
         routes.some(({ targets }) => targets.some((target) => target.service === service)),
@@ -346,6 +358,11 @@
     return [...new Set(owners)];
   }
 
+  private isOwnerOf(service: ServiceName): boolean {
+    const self = this.context.settings.listen.callers.address;
+    return this.ownersFor(service).some(({ address }) => address === self);
+  }
+
   private tellOwners(message: SightingsMessage): void {
     const self = this.context.settings.listen.callers.address;
     this.ownersFor(message.service)
@@ -378,6 +395,7 @@
           return;
         case 'changed':
           this.members = effect.members;
+          this.owners.clear();
       }
     });
   }
--- a/src/gateway/services.ts
+++ b/src/gateway/services.ts
@@ -77,6 +77,7 @@
   constructor(
     readonly name: ServiceName,
     private readonly context: GatewayContext,
+    private readonly isOwner: () => boolean,
   ) {
     this.book = new ServiceBook(name, context.settings.dataCentre);
     this.allowance = new RepeatAllowance(context.settings.bounds);
@@ -141,7 +142,7 @@
 
   private tryPlace(request: Placing, requestId: string): Placed | undefined {
     const now: Instant = this.context.clock.now();
-    const placement = this.book.place(request, now);
+    const placement = this.book.place(request, this.isOwner(), now);
     switch (placement.kind) {
       case 'send':
         placement.track.sent(requestId, now, now + this.book.overdueAfter(request.route));
