Wait for upstreams that are left out for a moment; stand-ins and tests of the path

Cause: a test with all upstreams shedding showed that a request was refused with a second to wait although they took work again 150 ms later. Ruled out: the inventory (both were ready). Change: upstreams left out for a moment count as full. Stand-ins for the platform's store and upstreams, and tests of the whole path against them.

--- a/src/core/placement/choose.ts
+++ b/src/core/placement/choose.ts
@@ -19,9 +19,9 @@
       readonly track: Track;
       readonly why: 'proven' | 'trial' | 'spread' | 'newcomer';
     }
-  /** All usable upstreams are full. */
+  /** All upstreams are full, or left out for a moment. */
   | { readonly kind: 'full' }
-  /** There is no upstream that may be used. */
+  /** There is no upstream that could be used. */
   | { readonly kind: 'none' };
 
 /** The service as a whole at the moment of choice. */
@@ -116,11 +116,11 @@
   view: PlacementView,
 ): Placement => {
   const { now } = view;
-  const usable = tracks.filter(
-    (track) => track.isUsable(now) && !request.tried.has(track.upstream.id),
+  const ready = tracks.filter(
+    ({ upstream }) => upstream.state === 'ready' && !request.tried.has(upstream.id),
   );
-  if (usable.length === 0) return { kind: 'none' };
-  const roomy = usable.filter((track) => hasRoom(track, now));
+  if (ready.length === 0) return { kind: 'none' };
+  const roomy = ready.filter((track) => !track.isAvoided(now) && hasRoom(track, now));
   if (roomy.length === 0) return { kind: 'full' };
   if (request.tried.size === 0 && view.isOwner) {
     const newcomer = newcomerOf(roomy, now);
--- a/src/core/placement/track.ts
+++ b/src/core/placement/track.ts
@@ -79,9 +79,9 @@
     this.elsewhere = { count, until: now + LOAD_REPORT_KEPT };
   }
 
-  /** Whether it may be sent requests. */
-  isUsable(now: Instant): boolean {
-    return this.upstream.state === 'ready' && now >= this.avoidUntil;
+  /** Whether it is left out for a moment, as it shed a request or could not be reached. */
+  isAvoided(now: Instant): boolean {
+    return now < this.avoidUntil;
   }
 
   learn(evidence: Evidence, now: Instant): void {
--- /dev/null
+++ b/standins/platform/upstream.ts
@@ -0,0 +1,167 @@
+/** A stand-in for the platform's upstreams, which speaks raw bytes so that it can break the protocol. */
+import { createServer, type Socket } from 'node:net';
+
+import { closeServer, listen, type StandIn } from '../server';
+
+/** What an upstream does with a request. */
+export type UpstreamMood =
+  | 'well'
+  | 'fails'
+  | 'sheds'
+  | 'hangs'
+  | 'resets'
+  | 'truncates'
+  | 'extra'
+  | 'late-extra'
+  | 'foreign-first'
+  | 'unframed'
+  | 'not-http'
+  | 'unsigned'
+  | 'wrong-chunk';
+
+/** A request as the upstream read it. */
+export interface SeenRequest {
+  readonly id: string;
+  readonly head: string;
+  readonly body: string;
+  readonly connection: number;
+}
+
+/** A running upstream and its controls. */
+export interface PlatformUpstream extends StandIn {
+  readonly id: string;
+  mood: UpstreamMood;
+  /** Milliseconds that a request takes. */
+  work: number;
+  /** Requests that began to run, in order. */
+  readonly runs: SeenRequest[];
+  /** Requests whose connection closed while they ran. */
+  readonly cancelled: string[];
+}
+
+const HEADER_END = '\r\n\r\n';
+
+const headerOf = (head: string, name: string): string =>
+  new RegExp(`^${name}: *(.*)$`, 'im').exec(head)?.[1]?.trim() ?? '';
+
+const answer = (id: string, body: string, more: readonly string[] = []): string =>
+  [
+    'HTTP/1.1 200 OK',
+    `X-Redwingmount-Request-Id: ${id}`,
+    'X-Redwingmount-Response-Signature: 3e1b.07',
+    'X-Redwingmount-Backend-Load: 1,0,6',
+    `Content-Length: ${body.length}`,
+    ...more,
+    '',
+    body,
+  ].join('\r\n');
+
+/** Starts an upstream on loopback; its answers' bodies are `<its id> <the request's id>`. */
+export const startPlatformUpstream = async (id: string): Promise<PlatformUpstream> => {
+  let connections = 0;
+  const sockets = new Set<Socket>();
+
+  const finish = (socket: Socket, seen: SeenRequest): void => {
+    const body = `${id} ${seen.id}`;
+    const whole = answer(seen.id, body);
+    switch (upstream.mood) {
+      case 'well':
+      case 'sheds':
+        socket.write(whole);
+        return;
+      case 'fails':
+        socket.write(whole.replace('200 OK', '500 Internal Server Error'));
+        return;
+      case 'hangs':
+        return;
+      case 'resets':
+        socket.resetAndDestroy();
+        return;
+      case 'truncates':
+        socket.end(whole.slice(0, -3));
+        return;
+      case 'extra':
+        socket.write(whole + answer('another', 'extra'));
+        return;
+      case 'late-extra':
+        socket.write(whole);
+        setTimeout(() => socket.write(answer('another', 'late')), 20);
+        return;
+      case 'foreign-first':
+        socket.write(answer('another', 'foreign') + whole);
+        return;
+      case 'unframed':
+        socket.end(whole.replace(/Content-Length.*\r\n/, ''));
+        return;
+      case 'not-http':
+        socket.write('SSH-2.0-wrong\r\n\r\n');
+        return;
+      case 'unsigned':
+        socket.write(whole.replace(/X-Redwingmount-Response-Signature.*\r\n/, ''));
+        return;
+      case 'wrong-chunk':
+        socket.write(
+          whole
+            .replace(/Content-Length.*\r\n/, 'Transfer-Encoding: chunked\r\n')
+            .replace(body, `4\r\n${body.slice(0, 4)}\r\nzz\r\n\r\n`),
+        );
+    }
+  };
+
+  const serve = (socket: Socket, seen: SeenRequest): void => {
+    const target = headerOf(seen.head, 'X-Redwingmount-Target-Instance');
+    if (target !== '' && target !== id) {
+      socket.write(
+        `HTTP/1.1 421 Misdirected Request\r\nX-Redwingmount-Instance-Id: ${id}\r\nContent-Length: 0\r\n\r\n`,
+      );
+      return;
+    }
+    if (upstream.mood === 'sheds') {
+      socket.write(
+        'HTTP/1.1 503 Service Unavailable\r\nX-Redwingmount-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n',
+      );
+      return;
+    }
+    upstream.runs.push(seen);
+    const timer = setTimeout(() => finish(socket, seen), upstream.work);
+    socket.once('close', () => {
+      clearTimeout(timer);
+      if (!socket.writableEnded) upstream.cancelled.push(seen.id);
+    });
+  };
+
+  const server = createServer((socket) => {
+    connections += 1;
+    const connection = connections;
+    sockets.add(socket);
+    socket.on('error', () => {});
+    socket.on('close', () => sockets.delete(socket));
+    let text = '';
+    socket.on('data', (chunk) => {
+      text += chunk.toString('latin1');
+      const headEnd = text.indexOf(HEADER_END);
+      if (headEnd < 0) return;
+      const head = text.slice(0, headEnd);
+      const length = Number(headerOf(head, 'content-length') || 0);
+      const bodyStart = headEnd + HEADER_END.length;
+      if (text.length < bodyStart + length) return;
+      const body = text.slice(bodyStart, bodyStart + length);
+      text = text.slice(bodyStart + length);
+      serve(socket, { id: headerOf(head, 'X-Redwingmount-Request-Id'), head, body, connection });
+    });
+  });
+  const upstream: PlatformUpstream = {
+    id,
+    port: 0,
+    mood: 'well',
+    work: 5,
+    runs: [],
+    cancelled: [],
+    close: () => {
+      sockets.forEach((socket) => socket.destroy());
+      return closeServer(server);
+    },
+  };
+  const port = await listen(server, 0);
+  return Object.assign(upstream, { port });
+};
--- /dev/null
+++ b/test/gateway/answers.test.ts
@@ -0,0 +1,141 @@
+import { expect } from 'earl';
+import { after, before, beforeEach, describe, it } from 'node:test';
+
+import type { UpstreamMood } from '../../standins/platform';
+
+import { routeOf, Scene } from './harness';
+
+const SAFE = '/read/';
+const UNSAFE = '/book/';
+
+describe('answers of upstreams that break the protocol', () => {
+  let scene: Scene;
+  before(async () => {
+    scene = await Scene.start(2, [
+      routeOf(SAFE, 'safe', { maxAttempts: 3 }),
+      routeOf(UNSAFE, 'unsafe'),
+    ]);
+  });
+  after(() => scene.close());
+  beforeEach(() => {
+    scene.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'well', work: 5 }));
+  });
+
+  const broken: readonly UpstreamMood[] = [
+    'resets',
+    'truncates',
+    'not-http',
+    'unsigned',
+    'wrong-chunk',
+  ];
+  broken.forEach((mood) => {
+    it(`are never passed on as whole: ${mood}`, async () => {
+      scene.upstreams.forEach((upstream) => Object.assign(upstream, { mood }));
+      const id = `unsafe-${mood}`;
+      const seen = await scene.request(id, `${UNSAFE}x`, { method: 'POST', body: 'b' });
+      expect(seen.status).toEqual(502);
+      expect(scene.runsOf(id)).toEqual(1);
+      expect(seen.headers['x-redwingmount-response-signature']).toEqual(undefined);
+    });
+  });
+
+  (['extra', 'late-extra', 'foreign-first'] as const).forEach((mood) => {
+    it(`reach no other request: ${mood}`, async () => {
+      scene.upstreams.forEach((upstream) => Object.assign(upstream, { mood }));
+      for (let i = 0; i < 6; i++) {
+        const id = `${mood}-${i}`;
+        const seen = await scene.request(id, `${UNSAFE}x`, { method: 'POST', body: 'b' });
+        expect(seen.status).toEqual(200);
+        expect(seen.body.endsWith(` ${id}`)).toEqual(true);
+        expect(seen.headers['x-redwingmount-request-id']).toEqual(id);
+      }
+    });
+  });
+
+  it('that end with their connection are whole', async () => {
+    scene.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'unframed' }));
+    const seen = await scene.request('unframed', `${SAFE}x`);
+    expect(seen.status).toEqual(200);
+    expect(seen.body.endsWith(' unframed')).toEqual(true);
+  });
+
+  it('pass a failure on as the upstream gave it', async () => {
+    scene.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'fails' }));
+    const seen = await scene.request('fails', `${UNSAFE}x`, { method: 'POST', body: 'b' });
+    expect(seen.status).toEqual(500);
+    expect(seen.headers['x-redwingmount-response-signature']).toEqual('3e1b.07');
+    expect(scene.runsOf('fails')).toEqual(1);
+  });
+});
+
+describe('repeats', () => {
+  let scene: Scene;
+  before(async () => {
+    scene = await Scene.start(2, [routeOf(SAFE, 'safe'), routeOf(UNSAFE, 'unsafe')]);
+  });
+  after(() => scene.close());
+  beforeEach(() => {
+    scene.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'well', work: 5 }));
+  });
+
+  it('take an idempotent request past an upstream that fails', async () => {
+    const [ill] = scene.upstreams;
+    if (ill) ill.mood = 'fails';
+    for (let i = 0; i < 8; i++) {
+      const seen = await scene.request(`repeat-${i}`, `${SAFE}x`);
+      expect(seen.status).toEqual(200);
+    }
+  });
+
+  it('take any request past an upstream that says it did not run', async () => {
+    const [shedding] = scene.upstreams;
+    if (shedding) shedding.mood = 'sheds';
+    for (let i = 0; i < 8; i++) {
+      const id = `shed-${i}`;
+      const seen = await scene.request(id, `${UNSAFE}x`, { method: 'POST', body: 'b' });
+      expect(seen.status).toEqual(200);
+      expect(scene.runsOf(id)).toEqual(1);
+    }
+  });
+
+  it('say "not run" only when all upstreams said so', async () => {
+    scene.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'sheds' }));
+    const seen = await scene.request('all-shed', `${UNSAFE}x`, { method: 'POST', body: 'b' });
+    expect(seen.status).toEqual(503);
+    expect(Number(seen.headers['retry-after']) > 0).toEqual(true);
+    expect(scene.runsOf('all-shed')).toEqual(0);
+  });
+
+  it('join a hung attempt of an idempotent request', async () => {
+    const [first] = scene.upstreams;
+    if (first) first.mood = 'hangs';
+    for (let i = 0; i < 4; i++) {
+      const seen = await scene.request(`hang-${i}`, `${SAFE}x`);
+      expect(seen.status).toEqual(200);
+    }
+  });
+
+  it('cancel the work of a caller that leaves', async () => {
+    scene.upstreams.forEach((upstream) => Object.assign(upstream, { work: 1500 }));
+    const left = new AbortController();
+    const pending = scene
+      .request('leaver', `${SAFE}x`, { signal: left.signal })
+      .catch(() => undefined);
+    await scene.until(() => scene.runsOf('leaver') > 0);
+    left.abort();
+    await pending;
+    await scene.until(() => scene.upstreams.some(({ cancelled }) => cancelled.includes('leaver')));
+  });
+
+  it('answer by the time that the route allows', async () => {
+    scene.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'hangs' }));
+    const id = 'too-long';
+    const seen = await scene.request(id, `${UNSAFE}x`, {
+      method: 'POST',
+      body: 'b',
+      deadlineMs: 400,
+    });
+    expect(seen.status).toEqual(504);
+    expect(scene.runsOf(id)).toEqual(1);
+  });
+});
--- /dev/null
+++ b/test/gateway/harness.ts
@@ -0,0 +1,278 @@
+/** A gateway in this process, before stand-ins for the platform's store and upstreams. */
+import http from 'node:http';
+import { createServer } from 'node:net';
+
+import {
+  configFeed,
+  dialect,
+  directoryCodec,
+  parseSettings,
+  readinessCodec,
+  StoreClient,
+  upstreamFeed,
+} from '../../platform';
+import { systemClock } from '../../src/adapters';
+import { Gateway } from '../../src/gateway';
+import type { Field, Telemetry } from '../../src/ports';
+import {
+  startPlatformUpstream,
+  startStore,
+  type PlatformUpstream,
+  type StoreStandIn,
+} from '../../standins/platform';
+
+const ADDRESS = '127.0.0.1';
+const HOST = 'shop.example';
+
+/** An answer as a caller saw it; `broken` when the connection ended before its end. */
+export interface SeenAnswer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  readonly broken: boolean;
+}
+
+export interface Event {
+  readonly name: string;
+  readonly fields: Readonly<Record<string, Field>>;
+}
+
+/** Telemetry that keeps events for tests to look at. */
+export const recordingTelemetry = (): Telemetry & { readonly events: Event[] } => {
+  const events: Event[] = [];
+  return {
+    events,
+    event: (name, fields = {}) => events.push({ name, fields }),
+    count: () => {},
+    gauge: () => {},
+    latency: () => {},
+  };
+};
+
+const freePorts = async (count: number): Promise<readonly number[]> => {
+  const servers = await Promise.all(
+    Array.from(
+      { length: count },
+      () =>
+        new Promise<ReturnType<typeof createServer>>((resolve) => {
+          const server = createServer();
+          server.listen(0, ADDRESS, () => resolve(server));
+        }),
+    ),
+  );
+  const ports = servers.map((server) => (server.address() as { port: number }).port);
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return ports;
+};
+
+const BOUNDS = [
+  'drainMs=2000',
+  'graceS=3',
+  'retryBudgetRatio=0.2',
+  'budgetWindowS=10',
+  'budgetMinRetries=60',
+  'ttl_max_s=5',
+  'floorShare=0.7',
+];
+
+/** A route as the operators write it. */
+export const routeOf = (
+  pathPrefix: string,
+  routeType: string,
+  more: Readonly<Record<string, unknown>> = {},
+): object => ({
+  name: `r${pathPrefix}`,
+  pathPrefix,
+  routeType,
+  timeoutMs: 2000,
+  targetLatencyMs: 1000,
+  priority: 1,
+  service: 'shop',
+  maxAttempts: 2,
+  ...more,
+});
+
+export const configOf = (version: number, paths: readonly object[]): object => ({
+  version: version.toString(16).padStart(8, '0'),
+  services: [{ name: 'shop', healthPath: '/health', maxConnections: 100 }],
+  limits: {
+    maxHeaderBytes: 16384,
+    maxBodyBytes: 65536,
+    headerTimeoutMs: 3000,
+    idleTimeoutMs: 15000,
+  },
+  virtualHosts: [{ host: HOST, paths }],
+});
+
+export const entryOf = (
+  upstream: PlatformUpstream,
+  more: { readonly state?: string; readonly sequence?: number; readonly born?: number } = {},
+): object => ({
+  address: `${ADDRESS}:${upstream.port}`,
+  info: { service: 'shop', version: 'v1', zone: 'takoradi', slots: 6 },
+  status: { state: more.state ?? 'ready', sequence: more.sequence ?? 1, warmupLeftMs: 0 },
+  born: more.born ?? 1,
+});
+
+/** One gateway and what surrounds it. */
+export class Scene {
+  private constructor(
+    readonly store: StoreStandIn,
+    readonly upstreams: readonly PlatformUpstream[],
+    readonly gateway: Gateway,
+    readonly telemetry: ReturnType<typeof recordingTelemetry>,
+    readonly ports: {
+      readonly callers: number;
+      readonly readiness: number;
+      readonly directory: number;
+    },
+    private readonly client: StoreClient,
+  ) {}
+
+  static async start(upstreamCount: number, paths?: readonly object[]): Promise<Scene> {
+    const store = await startStore();
+    const upstreams = await Promise.all(
+      Array.from({ length: upstreamCount }, (_, i) => startPlatformUpstream(`i-${i}`)),
+    );
+    const [callers = 0, readiness = 0, directory = 0, peers = 0] = await freePorts(4);
+    const settings = parseSettings(
+      'test',
+      [
+        'nodeName = "edge-1"',
+        `ip = "${ADDRESS}"`,
+        'zone = "takoradi"',
+        `portRange = [${peers}, ${peers + 1}]`,
+        'seeds = []',
+        `bounds = ${JSON.stringify(BOUNDS)}`,
+        '[listen]',
+        `front = "${ADDRESS}:${callers}"`,
+        `readiness = "${ADDRESS}:${readiness}"`,
+        `directory = "${ADDRESS}:${directory}"`,
+        '[platform]',
+        `address = "${ADDRESS}:${store.port}"`,
+      ].join('\n'),
+    ).unsafeCoerce();
+    const telemetry = recordingTelemetry();
+    const clock = systemClock;
+    const client = new StoreClient(settings.store, clock);
+    const gateway = new Gateway(
+      { settings, clock, telemetry, dialect },
+      {
+        configFeed: configFeed(client),
+        upstreamFeed: upstreamFeed(client, clock, telemetry),
+        directoryCodec,
+        readinessCodec,
+      },
+    );
+    const scene = new Scene(
+      store,
+      upstreams,
+      gateway,
+      telemetry,
+      { callers, readiness, directory },
+      client,
+    );
+    await gateway.start();
+    if (paths) {
+      scene.configure(1, paths);
+      upstreams.forEach((upstream) => scene.register(upstream));
+      await scene.until(() => scene.count('upstream-joined') === upstreamCount);
+      await scene.until(() => scene.count('config-in-force') === 1);
+    }
+    return scene;
+  }
+
+  configure(version: number, paths: readonly object[]): void {
+    this.store.put('keyed.op', 'config', configOf(version, paths));
+  }
+
+  register(upstream: PlatformUpstream, more: Parameters<typeof entryOf>[1] = {}): void {
+    this.store.put('keyed.servers', upstream.id, entryOf(upstream, more));
+  }
+
+  count(name: string): number {
+    return this.telemetry.events.filter((event) => event.name === name).length;
+  }
+
+  /** Runs of all upstreams with a request id. */
+  runsOf(id: string): number {
+    return this.upstreams.flatMap(({ runs }) => runs).filter((run) => run.id === id).length;
+  }
+
+  /** Waits for something that is to come about; fails after some seconds. */
+  async until(isSo: () => boolean): Promise<void> {
+    const deadline = Date.now() + 10_000;
+    while (!isSo()) {
+      if (Date.now() > deadline) {
+        throw new Error(
+          `did not come about: ${isSo.toString()}\n${JSON.stringify(this.telemetry.events.slice(-10))}`,
+        );
+      }
+      await new Promise((resolve) => {
+        setTimeout(resolve, 10);
+      });
+    }
+  }
+
+  request(
+    id: string,
+    path: string,
+    options: {
+      readonly method?: string;
+      readonly body?: string;
+      readonly headers?: Readonly<Record<string, string>>;
+      readonly agent?: http.Agent;
+      readonly deadlineMs?: number;
+      readonly signal?: AbortSignal;
+    } = {},
+  ): Promise<SeenAnswer> {
+    return new Promise((resolve, reject) => {
+      const req = http.request(
+        {
+          host: ADDRESS,
+          port: this.ports.callers,
+          method: options.method ?? 'GET',
+          path,
+          agent: options.agent ?? false,
+          ...(options.signal ? { signal: options.signal } : {}),
+          headers: {
+            host: HOST,
+            'x-redwingmount-request-id': id,
+            'x-redwingmount-deadline-ms': String(options.deadlineMs ?? 3000),
+            ...options.headers,
+          },
+        },
+        (res) => {
+          const chunks: Buffer[] = [];
+          const done = (): void =>
+            resolve({
+              status: res.statusCode ?? 0,
+              headers: res.headers,
+              body: Buffer.concat(chunks).toString('utf8'),
+              broken: !res.complete,
+            });
+          res.on('data', (chunk: Buffer) => chunks.push(chunk));
+          res.on('error', () => {});
+          res.on('close', done);
+        },
+      );
+      req.on('error', reject);
+      req.end(options.body);
+    });
+  }
+
+  /** One question to the directory or readiness port. */
+  async ask(
+    port: number,
+    path: string,
+  ): Promise<{ readonly status: number; readonly body: string }> {
+    const res = await fetch(`http://${ADDRESS}:${port}${path}`);
+    return { status: res.status, body: await res.text() };
+  }
+
+  async close(): Promise<void> {
+    await this.gateway.stop();
+    this.client.close();
+    await Promise.all([this.store.close(), ...this.upstreams.map((upstream) => upstream.close())]);
+  }
+}
