Cover sound upstreams at any time; weigh waiting against trials

Ruled out: counting the fleet's unserved requests (tried, FLOOR still broken: the failure comes all at once). Change: one request in four may go to the least ill of the unused sound upstreams while fewer than the floor's share and 0.06 are in use; waiting at an upstream is a cost beside the chance of failure; a request that can't be repeated is refused rather than sent where it likely fails; the fixed allowance belongs to owners and accrues from a node's start; new owners ask the others for their beliefs.

--- a/src/core/gateway/repeat-allowance.ts
+++ b/src/core/gateway/repeat-allowance.ts
@@ -1,9 +1,9 @@
 import type { GatewayBounds, Instant } from '../../model';
 
 /** Part of the fleet's ratio that is spent; the rest covers windows that slide and late arrivals. */
-const RATIO_USED = 0.75;
+const RATIO_USED = 0.85;
 /** Part of the fleet's fixed allowance that is spent. */
-const BASE_USED = 0.6;
+const BASE_USED = 0.7;
 
 interface Entry {
   readonly at: Instant;
@@ -24,23 +24,28 @@
 
   private readonly repeats: Entry[] = [];
 
+  /** `startedAt`: before it, an earlier run of this node may have spent its part. */
   constructor(
     private readonly bounds: Pick<GatewayBounds, 'repeatRatio' | 'repeatBase' | 'repeatWindow'>,
+    private readonly startedAt: Instant,
   ) {}
 
   requested(now: Instant): void {
     this.requests.push({ at: now });
   }
 
-  /** Takes one repeat if there is one left. `sharers`: nodes that the fixed allowance is shared by. */
+  /**
+   * Takes one repeat if there is one left. `sharers`: nodes that the fixed allowance is shared by,
+   * with this one; 0 if it has no part in it.
+   */
   take(sharers: number, now: Instant): boolean {
     const oldest = now - this.bounds.repeatWindow;
     dropBefore(this.requests, oldest);
     dropBefore(this.repeats, oldest);
     const { repeatRatio, repeatBase } = this.bounds;
-    const allowed =
-      RATIO_USED * repeatRatio * this.requests.length +
-      (BASE_USED * repeatBase) / Math.max(1, sharers);
+    const ofBase = sharers === 0 ? 0 : (BASE_USED * repeatBase) / sharers;
+    const accrued = Math.min(1, (now - this.startedAt) / this.bounds.repeatWindow);
+    const allowed = RATIO_USED * repeatRatio * this.requests.length + ofBase * accrued;
     if (this.repeats.length + 1 > allowed) return false;
     this.repeats.push({ at: now });
     return true;
--- a/src/core/placement/choose.ts
+++ b/src/core/placement/choose.ts
@@ -1,13 +1,22 @@
 import type { DataCentre, Instant, Millis, UpstreamId } from '../../model';
 
-import { failureChance } from './spell';
+import { failureChance, illAt } from './spell';
 import type { Track } from './track';
 
 /** What a request asks of its upstream. */
 export interface PlacementRequest {
-  readonly idempotent: boolean;
+  /** Whether a failure could be made good by a repeat. */
+  readonly repeatable: boolean;
   /** What its answer usually has. */
   readonly usualBytes: number;
+  /** What its answer usually takes. */
+  readonly usualLatency: Millis;
+  /** Time within which its answer has its full value, from now on. */
+  readonly objective: Millis;
+  /** Time until its deadline. */
+  readonly remaining: Millis;
+  /** It has waited as long as it can: any upstream is better than none. */
+  readonly lastResort: boolean;
   /** Upstreams that it has been sent to. */
   readonly tried: ReadonlySet<UpstreamId>;
 }
@@ -17,7 +26,7 @@
   | {
       readonly kind: 'send';
       readonly track: Track;
-      readonly why: 'proven' | 'trial' | 'spread' | 'newcomer';
+      readonly why: 'proven' | 'trial' | 'cover' | 'newcomer';
     }
   /** All upstreams are full, or left out for a moment. */
   | { readonly kind: 'full' }
@@ -30,8 +39,12 @@
   readonly dataCentre: DataCentre;
   /** Whether this node hears what others send to the service. */
   readonly isOwner: boolean;
-  /** Work must reach more of the upstreams, as too many requests go unserved. */
-  readonly spread: boolean;
+  /** From 0 to 1; lets equally good upstreams share the work. */
+  readonly draw: () => number;
+  /** Share of the sound upstreams that get work at any time. */
+  readonly coverShare: number;
+  /** Whether this request may be used to cover one more. */
+  readonly mayCover: boolean;
 }
 
 /** Costs are in chances of failure, so that they can be added to one. */
@@ -44,12 +57,18 @@
   otherDataCentreMost: 0.12,
   /** An upstream with all slots taken; some slow down when they are nearly full. */
   fullLoad: 0.01,
+  /** A wait at the upstream as long as the time that is to spare: what a late answer loses. */
+  late: 0.5,
+  /** A failure of a request that can be repeated, in parts of one that can't. */
+  repeatableFailure: 0.35,
   /** Each whole multiple of the usual latency beyond the first. */
   slowness: 0.08,
   /** An upstream that has just started and is still slow. */
   cold: 0.05,
   /** Each request that is overdue there. */
   overdue: 0.25,
+  /** The most that chance adds, so that nodes without knowledge do not all choose the same. */
+  chance: 0.006,
 } as const;
 
 const BYTES_PER_KB = 1024;
@@ -57,10 +76,41 @@
 export const PROVEN = 0.1;
 /** A newcomer is given work when it has been known for this long and nobody has used it. */
 const NEWCOMER_AFTER: Millis = 600;
-/** While spreading, each upstream is used again after at most this long; from the floor's window of 2 s. */
-const SPREAD_PERIOD: Millis = 1200;
+/** An upstream counts as used for this long after a request; within the floor's window of 2 s. */
+const USED_FOR: Millis = 1500;
+/** An upstream that failed counts as unsound for this long; as the users count it. */
+const UNSOUND_FOR: Millis = 2000;
 
-const hasRoom = (track: Track, now: Instant): boolean => track.load(now) < track.upstream.slots;
+/** Requests that may wait at an upstream; the users' upstreams queue 24 before they shed. */
+const MOST_QUEUED = 10;
+/** Part of the time to the deadline that a request may wait at an upstream. */
+const QUEUED_SHARE = 0.4;
+/** A request waits for a better upstream rather than take one that costs more. */
+const WORTH_WAITING = 0.3;
+
+/** A request that can't be repeated is refused rather than sent where it is likelier to fail. */
+const MOST_FAILURE = 0.5;
+
+/** Time that a request would wait at an upstream for a slot. */
+const queueTime = (load: number, slots: number, usualLatency: Millis): Millis =>
+  (Math.max(0, load + 1 - slots) / slots) * usualLatency;
+
+const hasRoom = (track: Track, request: PlacementRequest, now: Instant): boolean => {
+  const { slots } = track.upstream;
+  const load = track.load(now, request.usualLatency);
+  const wait = queueTime(load, slots, request.usualLatency);
+  return load < slots + MOST_QUEUED && wait <= QUEUED_SHARE * request.remaining;
+};
+
+/** What waiting for a slot there is expected to lose. */
+const waitCost = (
+  load: number,
+  slots: number,
+  { usualLatency, objective }: PlacementRequest,
+): number => {
+  const spare = Math.max(usualLatency / 2, objective - usualLatency);
+  return COST.late * Math.min(1, queueTime(load, slots, usualLatency) / spare);
+};
 
 const distanceCost = (bytes: number): number =>
   COST.otherDataCentre +
@@ -69,14 +119,17 @@
 /** What a request sent there now is expected to lose, in chances of failure. */
 export const costOf = (
   track: Track,
-  { usualBytes }: PlacementRequest,
+  request: PlacementRequest,
   { now, dataCentre }: PlacementView,
 ): number => {
   const { upstream } = track;
+  const load = track.load(now, request.usualLatency);
+  const failure = failureChance(track.belief, now);
   return (
-    failureChance(track.belief, now) +
-    (upstream.dataCentre === dataCentre ? 0 : distanceCost(usualBytes)) +
-    (COST.fullLoad * track.load(now)) / upstream.slots +
+    failure * (request.repeatable ? COST.repeatableFailure : 1) +
+    waitCost(load, upstream.slots, request) +
+    (upstream.dataCentre === dataCentre ? 0 : distanceCost(request.usualBytes)) +
+    (COST.fullLoad * load) / upstream.slots +
     COST.slowness * Math.max(0, track.slowness - 1) +
     (now < upstream.warmAt ? COST.cold : 0) +
     COST.overdue * track.overdue(now)
@@ -105,6 +158,23 @@
       now >= track.upstream.warmAt,
   );
 
+/**
+ * The upstream to use next so that enough of the sound ones get work; undefined if enough do. Load
+ * pattern: work keeps to a few proven upstreams, and suddenly many requests go unserved.
+ */
+const uncovered = (
+  tracks: readonly Track[],
+  { coverShare, now }: PlacementView,
+): Track | undefined => {
+  const sound = tracks.filter((track) => now - track.failedAt >= UNSOUND_FOR);
+  const unused = sound.filter((track) => now - track.lastSentAt >= USED_FOR);
+  if (sound.length - unused.length >= coverShare * sound.length) return undefined;
+  return least(
+    unused.filter((track) => !track.isAvoided(now)),
+    (track) => illAt(track.belief, now),
+  );
+};
+
 /**
  * Where a request goes. Load pattern: three in ten upstreams fail most of their requests for some
  * seconds, so that work goes to the few that have just proven well and reaches others only when
@@ -120,20 +190,20 @@
     ({ upstream }) => upstream.state === 'ready' && !request.tried.has(upstream.id),
   );
   if (ready.length === 0) return { kind: 'none' };
-  const roomy = ready.filter((track) => !track.isAvoided(now) && hasRoom(track, now));
+  const roomy = ready.filter((track) => !track.isAvoided(now) && hasRoom(track, request, now));
   if (roomy.length === 0) return { kind: 'full' };
   if (request.tried.size === 0 && view.isOwner) {
     const newcomer = newcomerOf(roomy, now);
     if (newcomer) return { kind: 'send', track: newcomer, why: 'newcomer' };
-    if (view.spread) {
-      const longest = least(roomy, (track) => track.lastSentAt);
-      if (longest && now - longest.lastSentAt >= SPREAD_PERIOD) {
-        return { kind: 'send', track: longest, why: 'spread' };
-      }
-    }
+    const next = view.mayCover ? uncovered(ready, view) : undefined;
+    if (next && hasRoom(next, request, now)) return { kind: 'send', track: next, why: 'cover' };
   }
-  const best = least(roomy, (track) => costOf(track, request, view));
+  const best = least(roomy, (track) => costOf(track, request, view) + COST.chance * view.draw());
   if (!best) return { kind: 'full' };
+  const isTooBad = request.lastResort
+    ? !request.repeatable && failureChance(best.belief, now) > MOST_FAILURE
+    : costOf(best, request, view) > WORTH_WAITING;
+  if (isTooBad) return { kind: 'full' };
   const why = failureChance(best.belief, now) <= PROVEN ? 'proven' : 'trial';
   return { kind: 'send', track: best, why };
 };
--- a/src/core/placement/service-book.ts
+++ b/src/core/placement/service-book.ts
@@ -8,15 +8,9 @@
 } from '../../model';
 
 import { choose, type Placement, type PlacementRequest } from './choose';
-import type { Evidence } from './spell';
+import { illAt, UNKNOWN, type Evidence } from './spell';
 import { Track } from './track';
 
-/** Span over which unserved requests are counted; the floor's window. */
-const UNSERVED_WINDOW: Millis = 2000;
-/** Share of unserved requests at which work is spread; the floor binds from a tenth. */
-const SPREAD_FROM = 0.08;
-/** Fewer unserved requests than this in the window say nothing. */
-const SPREAD_SAMPLE = 3;
 /** Latency and length of a route's answers. */
 export interface UsualAnswer {
   readonly latency: Millis;
@@ -31,12 +25,6 @@
 const OVERDUE_FACTOR = 3;
 const OVERDUE_LEAST: Millis = 100;
 
-/** One served or unserved request. */
-interface Served {
-  readonly at: Instant;
-  readonly served: boolean;
-}
-
 /** What was seen of an upstream by some node, to be shared. */
 export interface Sighting {
   readonly id: UpstreamId;
@@ -44,13 +32,29 @@
   readonly evidence: Evidence;
 }
 
+/** How likely a node holds an upstream to be ill, to be told to others. */
+export interface BeliefOf {
+  readonly id: UpstreamId;
+  readonly born: number;
+  /** From 0 to 1. */
+  readonly ill: number;
+}
+
+/** A service that had a request within this time is at work. */
+const WORK_WITHIN: Millis = 2000;
+/** At most one request in so many is used to cover an upstream. */
+const COVER_EVERY = 4;
+
 /** The upstreams of one service and what this node knows of each. */
 export class ServiceBook {
   private readonly tracks = new Map<UpstreamId, Track>();
 
   private list: readonly Track[] = [];
 
-  private served: Served[] = [];
+  /** Requests since one was last used to cover an upstream. */
+  private sinceCover = 0;
+
+  private lastPlacedAt: Instant = Number.NEGATIVE_INFINITY;
 
   /** What answers are usually like, by route, since a route's requests are alike. */
   private readonly usual = new Map<string, UsualAnswer>();
@@ -58,16 +62,19 @@
   constructor(
     readonly name: ServiceName,
     private readonly dataCentre: DataCentre,
+    private readonly coverShare: number,
+    private readonly draw: () => number,
   ) {}
 
   get size(): number {
     return this.list.length;
   }
 
-  /** Slots of all upstreams that take work. */
-  get slots(): number {
+  /** Slots that are expected to be of use: those of upstreams that take work and are well. */
+  slots(now: Instant): number {
     return this.list.reduce(
-      (sum, { upstream }) => sum + (upstream.state === 'ready' ? upstream.slots : 0),
+      (sum, { upstream, belief }) =>
+        sum + (upstream.state === 'ready' ? upstream.slots * (1 - illAt(belief, now)) : 0),
       0,
     );
   }
@@ -80,7 +87,10 @@
     const known = this.tracks.get(upstream.id);
     if (known && known.upstream.born === upstream.born) known.upstream = upstream;
     else
-      this.tracks.set(upstream.id, new Track(upstream, this.served.length > 0 ? now : undefined));
+      this.tracks.set(
+        upstream.id,
+        new Track(upstream, now - this.lastPlacedAt > WORK_WITHIN ? undefined : now),
+      );
     this.list = [...this.tracks.values()];
   }
 
@@ -91,12 +101,36 @@
 
   /** `isOwner`: this node gets its share of the service's requests, and hears what others saw. */
   place(request: PlacementRequest, isOwner: boolean, now: Instant): Placement {
-    return choose(this.list, request, {
+    this.lastPlacedAt = now;
+    const placement = choose(this.list, request, {
       now,
       dataCentre: this.dataCentre,
       isOwner,
-      spread: this.isShort(now),
+      draw: this.draw,
+      coverShare: this.coverShare,
+      mayCover: this.sinceCover >= COVER_EVERY,
     });
+    if (placement.kind === 'send') {
+      this.sinceCover = placement.why === 'cover' ? 0 : this.sinceCover + 1;
+    }
+    return placement;
+  }
+
+  /** What this node believes of the upstreams that it knows something of. */
+  beliefs(now: Instant): readonly BeliefOf[] {
+    return this.list
+      .filter(({ belief }) => belief !== UNKNOWN)
+      .map(({ upstream, belief }) => ({
+        id: upstream.id,
+        born: upstream.born,
+        ill: illAt(belief, now),
+      }));
+  }
+
+  /** Takes what another node believes, where this one knows nothing. */
+  assume({ id, born, ill }: BeliefOf, now: Instant): void {
+    const track = this.tracks.get(id);
+    if (track?.upstream.born === born) track.assume(ill, now);
   }
 
   /** What an answer on a route usually takes. */
@@ -130,16 +164,4 @@
     track.lastSentAt = Math.max(track.lastSentAt, now);
     track.learn(evidence, now);
   }
-
-  /** Notes whether a request was served in the end. */
-  finished(served: boolean, now: Instant): void {
-    this.served.push({ at: now, served });
-  }
-
-  /** Whether so many requests go unserved that the floor asks for more upstreams in use. */
-  isShort(now: Instant): boolean {
-    this.served = this.served.filter(({ at }) => at > now - UNSERVED_WINDOW);
-    const unserved = this.served.filter(({ served }) => !served).length;
-    return unserved >= SPREAD_SAMPLE && unserved / this.served.length > SPREAD_FROM;
-  }
 }
--- a/src/core/placement/track.ts
+++ b/src/core/placement/track.ts
@@ -2,8 +2,6 @@
 
 import { learn, UNKNOWN, type Belief, type Evidence } from './spell';
 
-/** How long a report of an upstream's load says something of the load by other nodes. */
-const LOAD_REPORT_KEPT: Millis = 1000;
 /** Weight of the newest latency in the running mean. */
 const LATENCY_WEIGHT = 0.25;
 
@@ -33,12 +31,15 @@
 
   private avoidUntil: Instant = Number.NEGATIVE_INFINITY;
 
+  /** When any node is known to have had a failure from it; -Infinity if none. */
+  failedAt: Instant = Number.NEGATIVE_INFINITY;
+
   /** Latency in parts of what its service's answers usually take. */
   slowness = 1;
 
   private readonly flights = new Map<string, Flight>();
 
-  private elsewhere = { count: 0, until: Number.NEGATIVE_INFINITY };
+  private elsewhere = { count: 0, at: 0 };
 
   constructor(
     public upstream: GatewayUpstream,
@@ -50,9 +51,10 @@
     return this.flights.size;
   }
 
-  /** Requests that it is thought to hold, from all nodes. */
-  load(now: Instant): number {
-    return this.flights.size + (now < this.elsewhere.until ? this.elsewhere.count : 0);
+  /** Requests that it is thought to hold, from all nodes; what others sent ends in time. */
+  load(now: Instant, usualLatency: Millis): number {
+    const { count, at } = this.elsewhere;
+    return this.flights.size + count * Math.exp(-(now - at) / Math.max(1, usualLatency));
   }
 
   sent(requestId: string, now: Instant, overdueAt: Instant): void {
@@ -76,7 +78,7 @@
   /** Takes the upstream's own word on its load, which includes this node's requests. */
   reported(running: number, waiting: number, now: Instant): void {
     const count = Math.max(0, running + waiting - this.flights.size);
-    this.elsewhere = { count, until: now + LOAD_REPORT_KEPT };
+    this.elsewhere = { count, at: now };
   }
 
   /** Whether it is left out for a moment, as it shed a request or could not be reached. */
@@ -86,6 +88,12 @@
 
   learn(evidence: Evidence, now: Instant): void {
     this.belief = learn(this.belief, evidence, now);
+    if (evidence === 'failed-early' || evidence === 'failed-late') this.failedAt = now;
+  }
+
+  /** Takes another node's belief where this one knows nothing. */
+  assume(ill: number, now: Instant): void {
+    if (this.belief === UNKNOWN) this.belief = { ill, at: now };
   }
 
   /** Notes how an attempt ended. */
--- a/src/core/waiting/line.ts
+++ b/src/core/waiting/line.ts
@@ -60,9 +60,9 @@
     if (at >= 0) this.waiters.splice(at, 1);
   }
 
-  /** The next to start; undefined if nobody waits. */
-  first(): T | undefined {
-    return this.waiters[0];
+  /** All that wait, in the order in which they start. */
+  all(): readonly T[] {
+    return [...this.waiters];
   }
 
   /** Takes out those that can no longer start in time. */
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -40,7 +40,7 @@
 /** What a call shares with the others of its gateway. */
 export interface CallContext extends GatewayContext {
   readonly pool: UpstreamPool;
-  /** Nodes that share a service's fixed allowance of repeats. */
+  /** Nodes that share a service's fixed allowance of repeats; 0 if this one has no part in it. */
   readonly sharers: (service: string) => number;
   /** Tells the other nodes what was seen of an upstream. */
   readonly sighted: (desk: ServiceDesk, track: Track, evidence: Evidence) => void;
@@ -102,14 +102,9 @@
     this.deadline = Math.min(request.deadline, request.arrivedAt + route.timeout);
   }
 
-  async run(): Promise<Reply> {
+  run(): Promise<Reply> {
     this.desk.allowance.requested(this.context.clock.now());
-    const reply = await this.attempts();
-    if (reply.kind !== 'nobody') {
-      const isServed = reply.kind === 'answer' && classOf(reply.head.status) !== SERVER_ERROR_CLASS;
-      this.desk.book.finished(isServed, this.context.clock.now());
-    }
-    return reply;
+    return this.attempts();
   }
 
   private async attempts(): Promise<Reply> {
@@ -209,19 +204,24 @@
   private giveUp(why: string, retryAfter: Millis): Reply {
     if (this.failure) return this.failure;
     if (this.runs === 0) return { kind: 'refused', why, retryAfter };
-    return { kind: 'lost', why, isLate: this.context.clock.now() >= this.deadline };
+    return { kind: 'lost', why, isLate: why === 'timeout' };
   }
 
   private placing(): Parameters<ServiceDesk['place']>[0] {
     const { arrivedAt, signal } = this.request;
     const usual = this.desk.book.usualLatency(this.route.name);
+    const now = this.context.clock.now();
     const inObjective = arrivedAt + OBJECTIVE_FOR_START * this.route.objective - usual;
     return {
-      idempotent: this.idempotent,
+      repeatable: this.idempotent && this.runs + 1 < this.route.maxAttempts,
       tried: this.tried,
       usualBytes: this.desk.book.usualBytes(this.route.name),
+      usualLatency: usual,
+      objective: arrivedAt + this.route.objective - now,
+      remaining: this.deadline - now,
+      lastResort: false,
       priority: this.route.priority,
-      arrivedAt: this.context.clock.now(),
+      arrivedAt: now,
       startBy: Math.max(inObjective, arrivedAt + LEAST_WAIT * this.route.objective),
       signal,
       route: this.route.name,
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -7,4 +7,6 @@
   readonly clock: Clock;
   readonly telemetry: Telemetry;
   readonly dialect: Dialect;
+  /** Chance, from 0 to 1. */
+  readonly draw: () => number;
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -36,7 +36,14 @@
 import { Follower } from './follower';
 import { DatagramLink, type PeerTopic } from './peer-link';
 import { ServiceDesk } from './services';
-import { decodeSightings, SightingOutbox, type SightingsMessage } from './sightings';
+import {
+  beliefMessages,
+  decodeBeliefs,
+  decodeSightings,
+  SightingOutbox,
+  type BeliefsMessage,
+  type SightingsMessage,
+} from './sightings';
 import { createDirectoryServer, createReadinessServer } from './small-servers';
 import { UpstreamPool } from './upstream-pool';
 
@@ -92,6 +99,9 @@
 
   private readonly call: CallContext;
 
+  /** Services that this node owned when the owners last changed. */
+  private readonly owned = new Set<ServiceName>();
+
   private routes: HostRoutes | undefined;
 
   private members: readonly Member[] = [];
@@ -154,7 +164,7 @@
     this.call = {
       ...context,
       pool: this.pool,
-      sharers: (service) => this.ownersFor(service).length,
+      sharers: (service) => (this.isOwnerOf(service) ? this.ownersFor(service).length : 0),
       sighted: (desk, track, evidence) => this.outbox.add(desk.name, track, evidence),
     };
   }
@@ -282,7 +292,7 @@
           if (config.version <= inForce) return;
           this.routes = new HostRoutes(config);
           this.dealer.clear();
-          this.owners.clear();
+          this.onOwnersChanged();
           this.callers.applyLimits();
           this.context.telemetry.event('config-in-force', {
             version: config.version,
@@ -363,11 +373,47 @@
     return this.ownersFor(service).some(({ address }) => address === self);
   }
 
-  private tellOwners(message: SightingsMessage): void {
+  /** A node that begins to own a service asks the others what they know of its upstreams. */
+  private onOwnersChanged(): void {
+    this.owners.clear();
+    const { address, port: peerPort } = this.context.settings.listen.peers;
+    this.desks.forEach(({ name }) => {
+      const isOwner = this.isOwnerOf(name);
+      if (isOwner && !this.owned.has(name)) {
+        const message: BeliefsMessage = {
+          kind: 'wanted',
+          service: name,
+          from: { address, peerPort },
+        };
+        this.others(name).forEach((owner) => this.link.send(owner, 'beliefs', message));
+      }
+      if (isOwner) this.owned.add(name);
+      else this.owned.delete(name);
+    });
+  }
+
+  private onBeliefs(message: BeliefsMessage): void {
+    const now = this.context.clock.now();
+    const book = this.desks.get(message.service)?.book;
+    switch (message.kind) {
+      case 'told':
+        message.beliefs.forEach((belief) => book?.assume(belief, now));
+        return;
+      case 'wanted':
+        beliefMessages(message.service, book?.beliefs(now) ?? []).forEach((told) =>
+          this.link.send(message.from, 'beliefs', told),
+        );
+    }
+  }
+
+  /** The owners of a service other than this node. */
+  private others(service: ServiceName): readonly Member[] {
     const self = this.context.settings.listen.callers.address;
-    this.ownersFor(message.service)
-      .filter(({ address }) => address !== self)
-      .forEach((owner) => this.link.send(owner, 'sightings', message));
+    return this.ownersFor(service).filter(({ address }) => address !== self);
+  }
+
+  private tellOwners(message: SightingsMessage): void {
+    this.others(message.service).forEach((owner) => this.link.send(owner, 'sightings', message));
   }
 
   private onMessage(topic: PeerTopic, body: unknown): void {
@@ -383,6 +429,11 @@
         const now: Instant = this.context.clock.now();
         const desk = message && this.desks.get(message.service);
         message?.sightings.forEach((sighting) => desk?.book.hear(sighting, now));
+        return;
+      }
+      case 'beliefs': {
+        const message = decodeBeliefs(body);
+        if (message) this.onBeliefs(message);
       }
     }
   }
@@ -395,7 +446,7 @@
           return;
         case 'changed':
           this.members = effect.members;
-          this.owners.clear();
+          this.onOwnersChanged();
       }
     });
   }
--- a/src/gateway/peer-link.ts
+++ b/src/gateway/peer-link.ts
@@ -14,9 +14,12 @@
 }
 
 /** Subjects that gateways talk about. */
-export type PeerTopic = 'membership' | 'sightings';
+export type PeerTopic = 'membership' | 'sightings' | 'beliefs';
 
-const TOPICS: ReadonlySet<unknown> = new Set(['membership', 'sightings']);
+/** Where a gateway is reached by its peers. */
+export type PeerAddress = Pick<NodeAddress, 'address' | 'peerPort'>;
+
+const TOPICS: ReadonlySet<unknown> = new Set<PeerTopic>(['membership', 'sightings', 'beliefs']);
 
 const isHeads = (value: unknown): value is FeedHeads =>
   Array.isArray(value) && value.length === 2 && value.every(Number.isSafeInteger);
@@ -42,7 +45,7 @@
     });
   }
 
-  send(to: Pick<NodeAddress, 'address' | 'peerPort'>, topic: PeerTopic, body: unknown): void {
+  send(to: PeerAddress, topic: PeerTopic, body: unknown): void {
     const bytes = Buffer.from(JSON.stringify([topic, body, this.service.heads()]));
     if (bytes.length > MAX_DATAGRAM_BYTES) this.telemetry.count('datagrams_large', { topic });
     this.socket.send(bytes, to.peerPort, to.address, (err) => {
--- a/src/gateway/services.ts
+++ b/src/gateway/services.ts
@@ -8,6 +8,12 @@
 /** How often waiting requests are looked at beside the moments when a slot is freed. */
 const WAITING_PERIOD: Millis = 25;
 
+/** By how much the share of upstreams in use is kept over the floor. */
+const COVER_MARGIN = 0.06;
+
+/** Waiting requests that may fail to be placed before the rest is left for later. */
+const LOOKED_AT = 3;
+
 /** What a request needs to be placed. */
 export interface Placing extends PlacementRequest, Waiter {
   readonly signal: AbortSignal;
@@ -25,7 +31,8 @@
 /** What a waiting request asks of its desk. */
 interface WaitingPorts {
   attempt(): Placed | undefined;
-  refusal(): Placed;
+  /** Takes what there is, or refuses. */
+  lastResort(): Placed;
   settle(placed: Placed): void;
 }
 
@@ -53,7 +60,7 @@
   }
 
   expire(): void {
-    this.settle(this.ports.refusal());
+    this.settle(this.ports.lastResort());
   }
 
   private readonly onAbort = (): void => this.settle({ kind: 'cancelled' });
@@ -79,8 +86,10 @@
     private readonly context: GatewayContext,
     private readonly isOwner: () => boolean,
   ) {
-    this.book = new ServiceBook(name, context.settings.dataCentre);
-    this.allowance = new RepeatAllowance(context.settings.bounds);
+    const { dataCentre, bounds } = context.settings;
+    const coverShare = Math.min(1, bounds.floorShare + COVER_MARGIN);
+    this.book = new ServiceBook(name, dataCentre, coverShare, context.draw);
+    this.allowance = new RepeatAllowance(context.settings.bounds, context.clock.now());
   }
 
   get waiting(): number {
@@ -92,19 +101,26 @@
     const first = this.placeNow(request, requestId);
     if (first) return Promise.resolve(first);
     const now = this.context.clock.now();
-    const load = { slots: this.book.slots, usualLatency: this.book.usualLatency(request.route) };
+    const load = {
+      slots: this.book.slots(now),
+      usualLatency: this.book.usualLatency(request.route),
+    };
     const admission = this.line.admit(request, load);
     if (admission.kind === 'refuse') {
-      return Promise.resolve({ kind: 'refused', retryAfter: admission.retryAfter, waited: 0 });
+      const last = this.placeNow({ ...request, lastResort: true }, requestId);
+      return Promise.resolve(
+        last ?? { kind: 'refused', retryAfter: admission.retryAfter, waited: 0 },
+      );
     }
     return new Promise((resolve) => {
       const waiting = new Waiting(request, {
         attempt: () => this.placeNow(request, requestId),
-        refusal: () => ({
-          kind: 'refused',
-          retryAfter: this.line.expectedWait(request.priority, load),
-          waited: this.context.clock.now() - now,
-        }),
+        lastResort: () =>
+          this.placeNow({ ...request, lastResort: true }, requestId) ?? {
+            kind: 'refused',
+            retryAfter: this.line.expectedWait(request.priority, load),
+            waited: this.context.clock.now() - now,
+          },
         settle: (placed) => {
           this.line.remove(waiting);
           resolve(placed);
@@ -118,10 +134,10 @@
   /** Lets waiting requests have what room there is. */
   advance(): void {
     this.line.expired(this.context.clock.now()).forEach((waiting) => waiting.expire());
-    for (;;) {
-      const first = this.line.first();
-      if (!first?.attempt()) return;
-    }
+    let failed = 0;
+    this.line.all().forEach((waiting) => {
+      if (failed < LOOKED_AT && !waiting.attempt()) failed += 1;
+    });
   }
 
   put(upstream: GatewayUpstream): void {
--- a/src/gateway/sightings.ts
+++ b/src/gateway/sightings.ts
@@ -1,7 +1,8 @@
-import type { Evidence, Sighting, Track } from '../core/placement';
+import type { BeliefOf, Evidence, Sighting, Track } from '../core/placement';
 import {
   isArrayOf,
   isCount,
+  isFiniteNumber,
   isShape,
   isString,
   type Instant,
@@ -10,6 +11,8 @@
 } from '../model';
 import type { Clock } from '../ports';
 
+import type { PeerAddress } from './peer-link';
+
 /** Good answers of one upstream are told of once in this time; failures are told of at once. */
 const GOOD_PERIOD: Millis = 250;
 /** Sightings in one message. */
@@ -33,16 +36,49 @@
 
 export const decodeSightings = (body: unknown): SightingsMessage | undefined => {
   if (!isShape(body) || !isString(body.service)) return undefined;
-  return isArrayOf(body.sightings, isSighting)
-    ? { service: body.service, sightings: body.sightings }
-    : undefined;
+  const { service, sightings } = body;
+  return isArrayOf(sightings, isSighting) ? { service, sightings } : undefined;
+};
+
+/** Asks for what a node believes of a service's upstreams, or tells it. */
+export type BeliefsMessage =
+  | { readonly kind: 'wanted'; readonly service: ServiceName; readonly from: PeerAddress }
+  | { readonly kind: 'told'; readonly service: ServiceName; readonly beliefs: readonly BeliefOf[] };
+
+const isBelief = (value: unknown): value is BeliefOf =>
+  isShape(value) &&
+  isString(value.id) &&
+  isCount(value.born) &&
+  isFiniteNumber(value.ill) &&
+  value.ill >= 0 &&
+  value.ill <= 1;
+
+export const decodeBeliefs = (body: unknown): BeliefsMessage | undefined => {
+  if (!isShape(body) || !isString(body.service)) return undefined;
+  const { kind, service, from, beliefs } = body;
+  if (kind === 'wanted' && isShape(from) && isString(from.address) && isCount(from.peerPort)) {
+    return { kind, service, from: { address: from.address, peerPort: from.peerPort } };
+  }
+  return kind === 'told' && isArrayOf(beliefs, isBelief) ? { kind, service, beliefs } : undefined;
+};
+
+/** Beliefs in messages that fit into one datagram each. */
+export const beliefMessages = (
+  service: ServiceName,
+  beliefs: readonly BeliefOf[],
+): readonly BeliefsMessage[] => {
+  const messages: BeliefsMessage[] = [];
+  for (let i = 0; i < beliefs.length; i += MOST_IN_MESSAGE) {
+    messages.push({ kind: 'told', service, beliefs: beliefs.slice(i, i + MOST_IN_MESSAGE) });
+  }
+  return messages;
 };
 
 /** Collects what this node sees and hands it on in few messages. */
 export class SightingOutbox {
-  private readonly waiting = new Map<ServiceName, Sighting[]>();
+  private readonly untold = new Map<ServiceName, Sighting[]>();
 
-  private readonly toldGood = new Map<Track, Instant>();
+  private readonly toldGood = new WeakMap<Track, Instant>();
 
   private timer: NodeJS.Timeout | undefined;
 
@@ -59,18 +95,13 @@
     }
     if (isGood) this.toldGood.set(track, now);
     else this.toldGood.delete(track);
-    const list = this.waiting.get(service) ?? [];
-    list.push({ id: track.upstream.id, born: track.upstream.born, evidence });
-    this.waiting.set(service, list);
-    if (!isGood || list.length >= MOST_IN_MESSAGE) this.flush();
+    const sightings = this.untold.get(service) ?? [];
+    sightings.push({ id: track.upstream.id, born: track.upstream.born, evidence });
+    this.untold.set(service, sightings);
+    if (!isGood || sightings.length >= MOST_IN_MESSAGE) this.flush();
     else this.timer ??= setTimeout(() => this.flush(), GOOD_PERIOD);
   }
 
-  /** Forgets upstreams that have left. */
-  forget(track: Track): void {
-    this.toldGood.delete(track);
-  }
-
   close(): void {
     clearTimeout(this.timer);
   }
@@ -78,7 +109,7 @@
   private flush(): void {
     clearTimeout(this.timer);
     this.timer = undefined;
-    this.waiting.forEach((sightings, service) => this.send({ service, sightings }));
-    this.waiting.clear();
+    this.untold.forEach((sightings, service) => this.send({ service, sightings }));
+    this.untold.clear();
   }
 }
--- a/standins/platform/store.ts
+++ b/standins/platform/store.ts
@@ -61,18 +61,74 @@
   return Buffer.concat([head, ...topic.records.filter(({ offset }) => offset >= from).map(encode)]);
 };
 
-/** Starts a store on loopback. */
-export const startStore = async (): Promise<StoreStandIn> => {
-  const topics = new Map<string, Topic>();
-  const waiting = new Set<() => void>();
-  const topicOf = (name: string): Topic => {
-    const known = topics.get(name) ?? new Topic();
-    topics.set(name, known);
+/** The store's state and its calls. */
+class Store implements StoreStandIn {
+  port = 0;
+
+  mood: StoreMood = 'well';
+
+  calls = 0;
+
+  private readonly topics = new Map<string, Topic>();
+
+  private readonly waiting = new Set<() => void>();
+
+  readonly server = createServer((req, res) => this.handle(req, res));
+
+  put(name: string, key: string, value?: unknown): void {
+    const topic = this.topicOf(name);
+    const text = typeof value === 'string' ? value : JSON.stringify(value ?? '');
+    const bytes = value === undefined ? Buffer.alloc(0) : Buffer.from(text);
+    topic.records.push({ offset: topic.end, key, value: bytes });
+    [...this.waiting].forEach((answer) => answer());
+  }
+
+  compact(name: string): void {
+    const topic = this.topicOf(name);
+    const { end } = topic;
+    const kept = [...topic.newest()].sort((x, y) => x.offset - y.offset);
+    const last = topic.records.at(-1);
+    topic.records.length = 0;
+    topic.records.push(...kept);
+    if (last && topic.records.at(-1) !== last) topic.records.push(last);
+    topic.first = end;
+  }
+
+  close(): Promise<void> {
+    return closeServer(this.server);
+  }
+
+  private topicOf(name: string): Topic {
+    const known = this.topics.get(name) ?? new Topic();
+    this.topics.set(name, known);
     return known;
-  };
+  }
 
-  const readNewest = (res: ServerResponse, query: URLSearchParams): void => {
-    const topic = topicOf(query.get('topic') ?? '');
+  private handle(req: IncomingMessage, res: ServerResponse): void {
+    this.calls += 1;
+    const url = new URL(req.url ?? '/', 'http://store');
+    switch (this.mood) {
+      case 'silent':
+        return;
+      case 'reset':
+        req.socket.destroy();
+        return;
+      case 'busy':
+        sendJson(res, BUSY, { error: 'busy' });
+        return;
+      case 'cut-short':
+        res.writeHead(200, { 'content-length': '100' });
+        res.write('0123456789', () => req.socket.destroy());
+        return;
+      case 'well':
+        if (url.pathname === '/redwingmount/log-newest') this.readNewest(res, url.searchParams);
+        else if (url.pathname === '/redwingmount/log-read') this.readFrom(res, url.searchParams);
+        else sendJson(res, 404, { error: 'no such call' });
+    }
+  }
+
+  private readNewest(res: ServerResponse, query: URLSearchParams): void {
+    const topic = this.topicOf(query.get('topic') ?? '');
     const after = query.get('after') ?? '';
     const rest = topic.newest().filter(({ key }) => key > after);
     sendJson(res, 200, {
@@ -84,71 +140,29 @@
       hasMore: rest.length > PAGE,
       end: topic.end,
     });
-  };
+  }
 
-  const readFrom = (res: ServerResponse, query: URLSearchParams): void => {
-    const topic = topicOf(query.get('topic') ?? '');
+  private readFrom(res: ServerResponse, query: URLSearchParams): void {
+    const topic = this.topicOf(query.get('topic') ?? '');
     const from = Number(query.get('from'));
     const answer = (): void => {
-      waiting.delete(answer);
-      clearTimeout(timer);
+      this.waiting.delete(answer);
+      if (res.writableEnded) return;
       if (from < topic.first) sendJson(res, GONE, { first: topic.first });
       else res.end(pageOf(topic, from));
     };
-    const timer = setTimeout(answer, Number(query.get('waitMs') ?? 0));
-    if (from < topic.end || from < topic.first) answer();
-    else waiting.add(answer);
-  };
-
-  const handle = (req: IncomingMessage, res: ServerResponse): void => {
-    store.calls += 1;
-    const url = new URL(req.url ?? '/', 'http://store');
-    switch (store.mood) {
-      case 'silent':
-        return;
-      case 'reset':
-        req.socket.destroy();
-        return;
-      case 'busy':
-        sendJson(res, BUSY, { error: 'busy' });
-        return;
-      case 'cut-short':
-        res.writeHead(200, { 'content-length': '100' });
-        res.write('0123456789', () => req.socket.destroy());
-        return;
-      case 'well':
-        if (url.pathname === '/redwingmount/log-newest') readNewest(res, url.searchParams);
-        else if (url.pathname === '/redwingmount/log-read') readFrom(res, url.searchParams);
-        else sendJson(res, 404, { error: 'no such call' });
+    if (from < topic.end || from < topic.first) {
+      answer();
+      return;
     }
-  };
-
-  const server = createServer(handle);
-  const store: StoreStandIn = {
-    port: 0,
-    mood: 'well',
-    calls: 0,
-    put: (name, key, value) => {
-      const topic = topicOf(name);
-      const bytes =
-        value === undefined
-          ? Buffer.alloc(0)
-          : Buffer.from(typeof value === 'string' ? value : JSON.stringify(value));
-      topic.records.push({ offset: topic.end, key, value: bytes });
-      [...waiting].forEach((answer) => answer());
-    },
-    compact: (name) => {
-      const topic = topicOf(name);
-      const { end } = topic;
-      const kept = topic.newest();
-      const last = topic.records.at(-1);
-      topic.records.length = 0;
-      topic.records.push(...[...kept].sort((a, b) => a.offset - b.offset));
-      if (last && topic.records.at(-1) !== last) topic.records.push(last);
-      topic.first = end;
-    },
-    close: () => closeServer(server),
-  };
-  const port = await listen(server, 0);
-  return Object.assign(store, { port });
+    this.waiting.add(answer);
+    setTimeout(answer, Number(query.get('waitMs') ?? 0)).unref();
+  }
+}
+
+/** Starts a store on loopback. */
+export const startStore = async (): Promise<StoreStandIn> => {
+  const store = new Store();
+  store.port = await listen(store.server, 0);
+  return store;
 };
--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -56,15 +56,60 @@
     body,
   ].join('\r\n');
 
-/** Starts an upstream on loopback; its answers' bodies are `<its id> <the request's id>`. */
-export const startPlatformUpstream = async (id: string): Promise<PlatformUpstream> => {
-  let connections = 0;
-  const sockets = new Set<Socket>();
+class Upstream implements PlatformUpstream {
+  port = 0;
+
+  mood: UpstreamMood = 'well';
+
+  work = 5;
+
+  readonly runs: SeenRequest[] = [];
+
+  readonly cancelled: string[] = [];
+
+  readonly server = createServer((socket) => this.onConnection(socket));
+
+  private readonly sockets = new Set<Socket>();
+
+  private connections = 0;
+
+  constructor(readonly id: string) {}
+
+  close(): Promise<void> {
+    this.sockets.forEach((socket) => socket.destroy());
+    return closeServer(this.server);
+  }
 
-  const finish = (socket: Socket, seen: SeenRequest): void => {
-    const body = `${id} ${seen.id}`;
+  private onConnection(socket: Socket): void {
+    this.connections += 1;
+    const connection = this.connections;
+    this.sockets.add(socket);
+    socket.on('error', () => {});
+    socket.on('close', () => this.sockets.delete(socket));
+    let text = '';
+    socket.on('data', (chunk) => {
+      text += chunk.toString('latin1');
+      const headEnd = text.indexOf(HEADER_END);
+      if (headEnd < 0) return;
+      const head = text.slice(0, headEnd);
+      const length = Number(headerOf(head, 'content-length') || 0);
+      const bodyStart = headEnd + HEADER_END.length;
+      if (text.length < bodyStart + length) return;
+      const body = text.slice(bodyStart, bodyStart + length);
+      text = text.slice(bodyStart + length);
+      this.serve(socket, {
+        id: headerOf(head, 'X-Redwingmount-Request-Id'),
+        head,
+        body,
+        connection,
+      });
+    });
+  }
+
+  private finish(socket: Socket, seen: SeenRequest): void {
+    const body = `${this.id} ${seen.id}`;
     const whole = answer(seen.id, body);
-    switch (upstream.mood) {
+    switch (this.mood) {
       case 'well':
       case 'sheds':
         socket.write(whole);
@@ -106,62 +151,38 @@
             .replace(body, `4\r\n${body.slice(0, 4)}\r\nzz\r\n\r\n`),
         );
     }
-  };
+  }
 
-  const serve = (socket: Socket, seen: SeenRequest): void => {
+  private serve(socket: Socket, seen: SeenRequest): void {
     const target = headerOf(seen.head, 'X-Redwingmount-Target-Instance');
-    if (target !== '' && target !== id) {
+    if (target !== '' && target !== this.id) {
       socket.write(
-        `HTTP/1.1 421 Misdirected Request\r\nX-Redwingmount-Instance-Id: ${id}\r\nContent-Length: 0\r\n\r\n`,
+        `HTTP/1.1 421 Misdirected Request\r\nX-Redwingmount-Instance-Id: ${this.id}\r\nContent-Length: 0\r\n\r\n`,
       );
       return;
     }
-    if (upstream.mood === 'sheds') {
+    if (this.mood === 'sheds') {
       socket.write(
         'HTTP/1.1 503 Service Unavailable\r\nX-Redwingmount-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n',
       );
       return;
     }
-    upstream.runs.push(seen);
-    const timer = setTimeout(() => finish(socket, seen), upstream.work);
+    this.runs.push(seen);
+    let finished = false;
+    const timer = setTimeout(() => {
+      finished = true;
+      this.finish(socket, seen);
+    }, this.work);
     socket.once('close', () => {
       clearTimeout(timer);
-      if (!socket.writableEnded) upstream.cancelled.push(seen.id);
+      if (!finished) this.cancelled.push(seen.id);
     });
-  };
+  }
+}
 
-  const server = createServer((socket) => {
-    connections += 1;
-    const connection = connections;
-    sockets.add(socket);
-    socket.on('error', () => {});
-    socket.on('close', () => sockets.delete(socket));
-    let text = '';
-    socket.on('data', (chunk) => {
-      text += chunk.toString('latin1');
-      const headEnd = text.indexOf(HEADER_END);
-      if (headEnd < 0) return;
-      const head = text.slice(0, headEnd);
-      const length = Number(headerOf(head, 'content-length') || 0);
-      const bodyStart = headEnd + HEADER_END.length;
-      if (text.length < bodyStart + length) return;
-      const body = text.slice(bodyStart, bodyStart + length);
-      text = text.slice(bodyStart + length);
-      serve(socket, { id: headerOf(head, 'X-Redwingmount-Request-Id'), head, body, connection });
-    });
-  });
-  const upstream: PlatformUpstream = {
-    id,
-    port: 0,
-    mood: 'well',
-    work: 5,
-    runs: [],
-    cancelled: [],
-    close: () => {
-      sockets.forEach((socket) => socket.destroy());
-      return closeServer(server);
-    },
-  };
-  const port = await listen(server, 0);
-  return Object.assign(upstream, { port });
+/** Starts an upstream on loopback; its answers' bodies are `<its id> <the request's id>`. */
+export const startPlatformUpstream = async (id: string): Promise<PlatformUpstream> => {
+  const upstream = new Upstream(id);
+  upstream.port = await listen(upstream.server, 0);
+  return upstream;
 };
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -61,7 +61,14 @@
     ),
   );
   const ports = servers.map((server) => (server.address() as { port: number }).port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise((resolve) => {
+          server.close(resolve);
+        }),
+    ),
+  );
   return ports;
 };
 
@@ -114,6 +121,15 @@
   born: more.born ?? 1,
 });
 
+/** One question to a gateway's directory or readiness port. */
+export const ask = async (
+  port: number,
+  path: string,
+): Promise<{ readonly status: number; readonly body: string }> => {
+  const res = await fetch(`http://${ADDRESS}:${port}${path}`);
+  return { status: res.status, body: await res.text() };
+};
+
 /** One gateway and what surrounds it. */
 export class Scene {
   private constructor(
@@ -156,7 +172,7 @@
     const clock = systemClock;
     const client = new StoreClient(settings.store, clock);
     const gateway = new Gateway(
-      { settings, clock, telemetry, dialect },
+      { settings, clock, telemetry, dialect, draw: Math.random },
       {
         configFeed: configFeed(client),
         upstreamFeed: upstreamFeed(client, clock, telemetry),
@@ -261,15 +277,6 @@
     });
   }
 
-  /** One question to the directory or readiness port. */
-  async ask(
-    port: number,
-    path: string,
-  ): Promise<{ readonly status: number; readonly body: string }> {
-    const res = await fetch(`http://${ADDRESS}:${port}${path}`);
-    return { status: res.status, body: await res.text() };
-  }
-
   async close(): Promise<void> {
     await this.gateway.stop();
     this.client.close();
--- a/test/gateway/path.test.ts
+++ b/test/gateway/path.test.ts
@@ -3,7 +3,7 @@
 import net from 'node:net';
 import { after, before, describe, it } from 'node:test';
 
-import { configOf, routeOf, Scene } from './harness';
+import { ask, configOf, routeOf, Scene } from './harness';
 
 describe('a gateway', () => {
   let scene: Scene;
@@ -16,7 +16,7 @@
     const seen = await scene.request('early', '/any/x');
     expect(seen.status).toEqual(503);
     expect(Number(seen.headers['retry-after']) > 0).toEqual(true);
-    expect((await scene.ask(scene.ports.readiness, '/redwingmount/ready')).status).toEqual(503);
+    expect((await ask(scene.ports.readiness, '/redwingmount/ready')).status).toEqual(503);
   });
 
   it('serves by the longest prefix of the host once it does', async () => {
@@ -27,7 +27,7 @@
     scene.upstreams.forEach((upstream) => scene.register(upstream));
     await scene.until(() => scene.count('config-in-force') === 1);
     await scene.until(() => scene.count('upstream-joined') === 2);
-    expect((await scene.ask(scene.ports.readiness, '/redwingmount/ready')).status).toEqual(200);
+    expect((await ask(scene.ports.readiness, '/redwingmount/ready')).status).toEqual(200);
     expect((await scene.request('one', '/a/x?y=1')).status).toEqual(200);
     expect((await scene.request('two', '/a/b/x')).status).toEqual(503);
     expect((await scene.request('three', '/c/x')).status).toEqual(404);
@@ -44,7 +44,7 @@
   });
 
   it('names itself in the directory', async () => {
-    const answer = await scene.ask(
+    const answer = await ask(
       scene.ports.directory,
       '/redwingmount/resolve?name=shop.example&region=r&zone=takoradi',
     );
@@ -53,7 +53,7 @@
       addresses: [`127.0.0.1:${scene.ports.callers}`],
       ttlS: 1,
     });
-    expect((await scene.ask(scene.ports.directory, '/other')).status).toEqual(404);
+    expect((await ask(scene.ports.directory, '/other')).status).toEqual(404);
   });
 
   it('forwards headers but those of one connection, and the time that is left', async () => {
@@ -130,7 +130,7 @@
     const pending = scene.request('slow', '/a/x', { method: 'POST', body: 'b' });
     await scene.until(() => scene.runsOf('slow') === 1);
     const stopped = scene.gateway.stop();
-    expect((await scene.ask(scene.ports.readiness, '/redwingmount/ready')).status).toEqual(503);
+    expect((await ask(scene.ports.readiness, '/redwingmount/ready')).status).toEqual(503);
     const late = await scene.request('late', '/a/x', { method: 'POST', body: 'b' });
     expect(late.status).toEqual(200);
     expect(late.headers.connection).toEqual('close');
