Send to an ill upstream rather than refuse where no better one is known

Cause: tests with all upstreams failing got 503 after these were well again: what can't be repeated was refused while every upstream was held ill, up to 6 s; and a node just started had one repeat in its first second. Ruled out: the cover of unused upstreams (it waits 2 s after a failure). Change: a request waits or is refused only where another upstream is likelier well; a node starts with 0.4 of its fixed allowance.

--- a/src/core/gateway/repeat-allowance.ts
+++ b/src/core/gateway/repeat-allowance.ts
@@ -4,6 +4,8 @@
 const RATIO_USED = 0.85;
 /** Part of the fleet's fixed allowance that is spent. */
 const BASE_USED = 0.7;
+/** Part of it that a node has at its start; with what an earlier run spent, within the bound. */
+const START_PART = 0.4;
 
 interface Entry {
   readonly at: Instant;
@@ -44,7 +46,9 @@
     dropBefore(this.repeats, oldest);
     const { repeatRatio, repeatBase } = this.bounds;
     const ofBase = sharers === 0 ? 0 : (BASE_USED * repeatBase) / sharers;
-    const accrued = Math.min(1, (now - this.startedAt) / this.bounds.repeatWindow);
+    const accrued =
+      START_PART +
+      (1 - START_PART) * Math.min(1, (now - this.startedAt) / this.bounds.repeatWindow);
     const allowed = RATIO_USED * repeatRatio * this.requests.length + ofBase * accrued;
     if (this.repeats.length + 1 > allowed) return false;
     this.repeats.push({ at: now });
--- a/src/core/placement/choose.ts
+++ b/src/core/placement/choose.ts
@@ -88,6 +88,8 @@
 /** A request waits for a better upstream rather than take one that costs more. */
 const WORTH_WAITING = 0.3;
 
+/** By how much an upstream's chance of failure must be lower to be worth a wait. */
+const BETTER_BY = 0.1;
 /** A request that can't be repeated is refused rather than sent where it is likelier to fail. */
 const MOST_FAILURE = 0.5;
 
@@ -175,6 +177,24 @@
   );
 };
 
+/**
+ * Whether a request does better to wait than to go to the best upstream that has room: there must
+ * be another that is likelier to be well.
+ */
+const isWorthWaiting = (
+  best: Track,
+  ready: readonly Track[],
+  request: PlacementRequest,
+  view: PlacementView,
+): boolean => {
+  const failure = failureChance(best.belief, view.now);
+  const isBad = request.lastResort
+    ? !request.repeatable && failure > MOST_FAILURE
+    : costOf(best, request, view) > WORTH_WAITING;
+  if (!isBad) return false;
+  return ready.some((track) => failureChance(track.belief, view.now) + BETTER_BY < failure);
+};
+
 /**
  * Where a request goes. Load pattern: three in ten upstreams fail most of their requests for some
  * seconds, so that work goes to the few that have just proven well and reaches others only when
@@ -200,10 +220,7 @@
   }
   const best = least(roomy, (track) => costOf(track, request, view) + COST.chance * view.draw());
   if (!best) return { kind: 'full' };
-  const isTooBad = request.lastResort
-    ? !request.repeatable && failureChance(best.belief, now) > MOST_FAILURE
-    : costOf(best, request, view) > WORTH_WAITING;
-  if (isTooBad) return { kind: 'full' };
+  if (isWorthWaiting(best, ready, request, view)) return { kind: 'full' };
   const why = failureChance(best.belief, now) <= PROVEN ? 'proven' : 'trial';
   return { kind: 'send', track: best, why };
 };
