Log decisions, serve metrics, explain requests; split the fleet off the gateway

Cause: every attempt wrote a line, nothing bounded them, metrics were not kept, settings were read once, and a node joined before it had a configuration, so that callers could be sent to it too early. Counters and histograms on the second inner port. `explain` puts the lines of one request in order and says the cause. A gateway joins the members once it can serve.

--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -5,6 +5,7 @@
 
 import { runConfig } from './check';
 import { EXIT, type CliError } from './cli-error';
+import { runExplain } from './explain';
 import { runNode } from './node';
 import { runDrain, runInventory, runStatus, type NodeOptions } from './operator';
 import { report, type Answer, type Output } from './output';
@@ -106,6 +107,10 @@
     .option(...NODE_SETTINGS)
     .option(...JSON_OPTION)
     .action((options: RawOptions) => runDrain(nodeOptions(options)));
+  cli
+    .command('explain <request> [...logs]', 'Say from log files why a request ended as it did')
+    .option(...JSON_OPTION)
+    .action((request: string, logs: readonly string[]) => runExplain(String(request), logs));
   cli
     .command('version', 'Show the version of this program')
     .option(...JSON_OPTION)
--- a/src/core/gateway/repeat-allowance.ts
+++ b/src/core/gateway/repeat-allowance.ts
@@ -7,6 +7,9 @@
 /** Part of it that a node has at its start; with what an earlier run spent, within the bound. */
 const START_PART = 0.4;
 
+/** The fleet's bound on repeats, which settings may change. */
+export type RepeatBounds = Pick<GatewayBounds, 'repeatRatio' | 'repeatBase' | 'repeatWindow'>;
+
 interface Entry {
   readonly at: Instant;
 }
@@ -28,7 +31,7 @@
 
   /** `startedAt`: before it, an earlier run of this node may have spent its part. */
   constructor(
-    private readonly bounds: Pick<GatewayBounds, 'repeatRatio' | 'repeatBase' | 'repeatWindow'>,
+    private readonly bounds: () => RepeatBounds,
     private readonly startedAt: Instant,
   ) {}
 
@@ -41,14 +44,13 @@
    * with this one; 0 if it has no part in it.
    */
   take(sharers: number, now: Instant): boolean {
-    const oldest = now - this.bounds.repeatWindow;
+    const { repeatRatio, repeatBase, repeatWindow } = this.bounds();
+    const oldest = now - repeatWindow;
     dropBefore(this.requests, oldest);
     dropBefore(this.repeats, oldest);
-    const { repeatRatio, repeatBase } = this.bounds;
     const ofBase = sharers === 0 ? 0 : (BASE_USED * repeatBase) / sharers;
     const accrued =
-      START_PART +
-      (1 - START_PART) * Math.min(1, (now - this.startedAt) / this.bounds.repeatWindow);
+      START_PART + (1 - START_PART) * Math.min(1, (now - this.startedAt) / repeatWindow);
     const allowed = RATIO_USED * repeatRatio * this.requests.length + ofBase * accrued;
     if (this.repeats.length + 1 > allowed) return false;
     this.repeats.push({ at: now });
--- a/src/core/placement/service-book.ts
+++ b/src/core/placement/service-book.ts
@@ -62,7 +62,7 @@
   constructor(
     readonly name: ServiceName,
     private readonly dataCentre: DataCentre,
-    private readonly coverShare: number,
+    private readonly coverShare: () => number,
     private readonly draw: () => number,
   ) {}
 
@@ -107,7 +107,7 @@
       dataCentre: this.dataCentre,
       isOwner,
       draw: this.draw,
-      coverShare: this.coverShare,
+      coverShare: this.coverShare(),
       mayCover: this.sinceCover >= COVER_EVERY,
     });
     if (placement.kind === 'send') {
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -1,31 +1,17 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { nextStep, verdictOf, type AttemptOutcome } from '../core/gateway';
-import type { Evidence, Track } from '../core/placement';
+import { illAt, type Evidence, type Track } from '../core/placement';
 import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../model';
 
 import { headerOf, type AnswerHead } from './answer-parser';
 import type { GatewayContext } from './context';
+import { encodeRequest, outcomeOf, PROMISES_NOT_RUN, type CallerRequest } from './forwarding';
+import type { RequestLog } from './request-log';
 import type { ServiceDesk } from './services';
 import type { AnswerBody, ExchangeResult } from './upstream-connection';
 import type { UpstreamPool } from './upstream-pool';
 
-/** A caller's request, read whole. */
-export interface CallerRequest {
-  readonly id: string;
-  readonly method: string;
-  /** Path and query as the caller sent them. */
-  readonly target: string;
-  readonly host: string;
-  /** Names and values in turn; without those that concern one connection only. */
-  readonly rawHeaders: readonly string[];
-  readonly body: Buffer;
-  readonly arrivedAt: Instant;
-  /** When the caller stops waiting. */
-  readonly deadline: Instant;
-  readonly signal: AbortSignal;
-}
-
 /** What a caller is told. */
 export type Reply =
   /** An upstream's own answer. */
@@ -40,6 +26,7 @@
 /** What a call shares with the others of its gateway. */
 export interface CallContext extends GatewayContext {
   readonly pool: UpstreamPool;
+  readonly log: RequestLog;
   /** Nodes that share a service's fixed allowance of repeats; 0 if this one has no part in it. */
   readonly sharers: (service: string) => number;
   /** Tells the other nodes what was seen of an upstream. */
@@ -68,14 +55,8 @@
 const HEDGE_AFTER = 2.5;
 /** Retry-After where no upstream of a service is known; the store is read about once a second. */
 const NO_UPSTREAM_RETRY: Millis = 1000;
-const OK_CLASS = 2;
-const SERVER_ERROR_CLASS = 5;
-const MISDIRECTED = 421;
-
-const classOf = (status: number): number => Math.floor(status / 100);
-
-/** Statuses that say that a request has not run; only an upstream that says so besides is believed. */
-const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Decimals of a chance in a log line. */
+const ILL_DECIMALS = 3;
 
 /** One caller's request on its way through this gateway. */
 export class Call {
@@ -87,7 +68,11 @@
 
   private runs = 0;
 
-  private sends = 0;
+  /** Attempts so far. */
+  sends = 0;
+
+  /** The upstream of the last attempt. */
+  lastUpstream = '';
 
   /** The last failure that an upstream gave as its own answer. */
   private failure: Extract<Reply, { kind: 'answer' }> | undefined;
@@ -229,11 +214,13 @@
   }
 
   private async attempt(track: Track, why: string, signal: AbortSignal): Promise<AttemptEnd> {
-    const { clock, pool, telemetry } = this.context;
+    const { clock, pool, telemetry, log } = this.context;
     const { upstream } = track;
     const sentAt = clock.now();
     this.tried.add(upstream.id);
+    this.lastUpstream = upstream.id;
     this.sends += 1;
+    const illBefore = Number(illAt(track.belief, sentAt).toFixed(ILL_DECIMALS));
     const overdue = setTimeout(() => {
       track.learn('slow', clock.now());
       this.context.sighted(this.desk, track, 'slow');
@@ -241,20 +228,21 @@
     const result = await pool.run(upstream, {
       requestId: this.request.id,
       method: this.request.method,
-      bytes: () => this.encode(upstream.id),
+      bytes: () =>
+        encodeRequest(this.request, this.context.dialect, upstream.id, this.deadline - clock.now()),
       deadline: this.deadline,
       signal,
       idempotent: this.idempotent,
     });
     clearTimeout(overdue);
     const now = clock.now();
-    const outcome = this.outcomeOf(result);
+    const outcome = outcomeOf(result, this.request.id, this.context.dialect);
     const isStream = result.kind === 'answered' && result.body.kind === 'stream';
     this.note(track, outcome, result, now - sentAt);
     if (isStream) result.body.stream.once('close', () => this.desk.release(track, this.request.id));
     else this.desk.release(track, this.request.id);
     if (outcome.kind === 'failed' || outcome.kind === 'unknown') this.runs += 1;
-    telemetry.event('attempt', {
+    const fields = {
       request: this.request.id,
       route: this.route.name,
       service: this.desk.name,
@@ -266,7 +254,12 @@
       ...('status' in outcome ? { status: outcome.status } : {}),
       tookMs: Math.round(now - sentAt),
       inFlight: track.inFlight,
-    });
+      illBefore,
+    };
+    // What was served at once stands in the request's own line.
+    if (outcome.kind !== 'served' || this.sends > 1) log.notable('attempt', fields);
+    telemetry.latency('attempt', now - sentAt);
+    telemetry.count('attempts', { service: this.desk.name, outcome: outcome.kind });
     if (result.kind !== 'answered') return { outcome };
     const reply = { kind: 'answer', head: result.head, body: result.body } as const;
     if (outcome.kind === 'served') return { outcome, reply };
@@ -276,29 +269,6 @@
     return { outcome };
   }
 
-  private outcomeOf(result: ExchangeResult): AttemptOutcome {
-    if (result.kind === 'failed') {
-      if (result.why === 'cancelled') return { kind: 'cancelled' };
-      return result.sent
-        ? { kind: 'unknown', why: result.why }
-        : { kind: 'not-run', why: 'unreachable' };
-    }
-    const { status, rawHeaders } = result.head;
-    const { dialect } = this.context;
-    if (headerOf(rawHeaders, dialect.notRun) !== undefined) {
-      return { kind: 'not-run', why: status === MISDIRECTED ? 'misdirected' : 'shed' };
-    }
-    if (status === MISDIRECTED) return { kind: 'not-run', why: 'misdirected' };
-    if (classOf(status) === SERVER_ERROR_CLASS || PROMISES_NOT_RUN.has(status)) {
-      return { kind: 'failed', status };
-    }
-    const isGenuine =
-      headerOf(rawHeaders, dialect.requestId) === this.request.id &&
-      headerOf(rawHeaders, 'content-encoding') === undefined &&
-      (classOf(status) !== OK_CLASS || headerOf(rawHeaders, dialect.signature) !== undefined);
-    return isGenuine ? { kind: 'served' } : { kind: 'unknown', why: 'not-genuine' };
-  }
-
   /** Notes what an attempt showed of its upstream. */
   private note(track: Track, outcome: AttemptOutcome, result: ExchangeResult, took: Millis): void {
     const { clock, dialect, sighted } = this.context;
@@ -316,20 +286,4 @@
     const load = dialect.loadOf((name) => headerOf(result.head.rawHeaders, name));
     if (load) track.reported(load.running, load.waiting, now);
   }
-
-  private encode(upstreamId: string): Buffer {
-    const { dialect, clock } = this.context;
-    const { request } = this;
-    const remaining = Math.max(1, Math.floor(this.deadline - clock.now()));
-    const lines = [`${request.method} ${request.target} HTTP/1.1`];
-    const { rawHeaders } = request;
-    for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
-      lines.push(`${rawHeaders[i]}: ${rawHeaders[i + 1]}`);
-    }
-    lines.push(`${dialect.remainingMs}: ${remaining}`, `${dialect.onlyUpstream}: ${upstreamId}`);
-    const hasBody = request.body.length > 0 || !['GET', 'HEAD'].includes(request.method);
-    if (hasBody) lines.push(`content-length: ${request.body.length}`);
-    const head = Buffer.from(`${lines.join('\r\n')}\r\n\r\n`, 'latin1');
-    return hasBody ? Buffer.concat([head, request.body]) : head;
-  }
 }
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -4,7 +4,7 @@
 import type { CallerLimits, Instant, Millis } from '../model';
 import { MILLIS_PER_SECOND } from '../model';
 
-import type { CallerRequest } from './call';
+import type { CallerRequest } from './forwarding';
 import type { GatewayContext } from './context';
 import { endToEnd } from './headers';
 import { writeError, writeRefusal, writeReply, type FrontReply } from './replies';
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -3,6 +3,7 @@
 
 /** What every part of a gateway works with. */
 export interface GatewayContext {
+  /** As last read; a reload changes them. */
   readonly settings: GatewaySettings;
   readonly clock: Clock;
   readonly telemetry: Telemetry;
--- a/src/gateway/services.ts
+++ b/src/gateway/services.ts
@@ -86,10 +86,10 @@
     private readonly context: GatewayContext,
     private readonly isOwner: () => boolean,
   ) {
-    const { dataCentre, bounds } = context.settings;
-    const coverShare = Math.min(1, bounds.floorShare + COVER_MARGIN);
+    const coverShare = (): number => Math.min(1, context.settings.bounds.floorShare + COVER_MARGIN);
+    const { dataCentre } = context.settings;
     this.book = new ServiceBook(name, dataCentre, coverShare, context.draw);
-    this.allowance = new RepeatAllowance(context.settings.bounds, context.clock.now());
+    this.allowance = new RepeatAllowance(() => context.settings.bounds, context.clock.now());
   }
 
   get waiting(): number {
--- a/src/gateway/small-servers.ts
+++ b/src/gateway/small-servers.ts
@@ -41,3 +41,16 @@
     res.writeHead(OK, { 'content-type': 'application/json' });
     res.end(codec.encode(addresses, service.ttlSeconds));
   });
+
+/** Serves the metrics to the operators' scraper. */
+export const createMetricsServer = (metrics: () => Promise<string>): Server =>
+  http.createServer((req, res) => {
+    req.resume();
+    metrics().then(
+      (text) => {
+        res.writeHead(OK, { 'content-type': 'text/plain; version=0.0.4' });
+        res.end(text);
+      },
+      () => res.destroy(),
+    );
+  });
--- a/test/core/gateway/gateway.test.ts
+++ b/test/core/gateway/gateway.test.ts
@@ -106,7 +106,7 @@
     const owners = 6;
     const idle = 34;
     const make = (now: number): RepeatAllowance[] =>
-      Array.from({ length: owners + idle }, () => new RepeatAllowance(bounds, now));
+      Array.from({ length: owners + idle }, () => new RepeatAllowance(() => bounds, now));
     let nodes = make(0);
     const requests: number[] = [];
     const repeats: number[] = [];
@@ -127,8 +127,8 @@
   });
 
   it('are there for a node that has just started', () => {
-    expect(new RepeatAllowance(bounds, 0).take(6, 0)).toEqual(true);
-    expect(new RepeatAllowance(bounds, 0).take(0, 0)).toEqual(false);
+    expect(new RepeatAllowance(() => bounds, 0).take(6, 0)).toEqual(true);
+    expect(new RepeatAllowance(() => bounds, 0).take(0, 0)).toEqual(false);
   });
 });
 
--- a/test/core/placement/choose.test.ts
+++ b/test/core/placement/choose.test.ts
@@ -178,7 +178,7 @@
   const play = (seed: number, coverShare: number): Played => {
     const rng = xoroshiro128plus(seed);
     const draw = (): number => uniformFloat64(rng);
-    const book = new ServiceBook('shop', 'a', coverShare, draw);
+    const book = new ServiceBook('shop', 'a', () => coverShare, draw);
     const ills = new Map<string, { ill: boolean; until: number }>();
     for (let i = 0; i < 18; i++) {
       book.put(upstream(`u${i}`, { slots: 6 }), 0);
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -49,27 +49,30 @@
   };
 };
 
-const freePorts = async (count: number): Promise<readonly number[]> => {
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise<ReturnType<typeof createServer>>((resolve) => {
-          const server = createServer();
-          server.listen(0, ADDRESS, () => resolve(server));
-        }),
-    ),
-  );
-  const ports = servers.map((server) => (server.address() as { port: number }).port);
-  await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise((resolve) => {
-          server.close(resolve);
-        }),
-    ),
-  );
-  return ports;
+const listenOn = (port: number): Promise<ReturnType<typeof createServer> | undefined> =>
+  new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => resolve(undefined));
+    server.listen(port, ADDRESS, () => resolve(server));
+  });
+
+const closed = (server: ReturnType<typeof createServer>): Promise<void> =>
+  new Promise((resolve) => {
+    server.close(() => resolve());
+  });
+
+/** The first of `count` ports in a row that nothing listens on. */
+const freePorts = async (count: number): Promise<number> => {
+  for (;;) {
+    const first = await listenOn(0);
+    if (!first) throw new Error('no free port');
+    const { port } = first.address() as { port: number };
+    const rest = await Promise.all(
+      Array.from({ length: count - 1 }, (_, i) => listenOn(port + 1 + i)),
+    );
+    await Promise.all([first, ...rest].flatMap((server) => (server ? [closed(server)] : [])));
+    if (rest.every((server) => server !== undefined)) return port;
+  }
 };
 
 const BOUNDS = [
@@ -150,7 +153,8 @@
     const upstreams = await Promise.all(
       Array.from({ length: upstreamCount }, (_, i) => startPlatformUpstream(`i-${i}`)),
     );
-    const [callers = 0, readiness = 0, directory = 0, peers = 0] = await freePorts(4);
+    const callers = await freePorts(5);
+    const [readiness, directory, peers] = [callers + 1, callers + 2, callers + 3];
     const settings = parseSettings(
       'test',
       [
@@ -178,6 +182,7 @@
         upstreamFeed: upstreamFeed(client, clock, telemetry),
         directoryCodec,
         readinessCodec,
+        metrics: () => Promise.resolve(''),
       },
     );
     const scene = new Scene(
--- a/test/gateway/path.test.ts
+++ b/test/gateway/path.test.ts
@@ -44,10 +44,15 @@
   });
 
   it('names itself in the directory', async () => {
-    const answer = await ask(
-      scene.ports.directory,
-      '/redwingmount/resolve?name=shop.example&region=r&zone=takoradi',
-    );
+    const target = '/redwingmount/resolve?name=shop.example&region=r&zone=takoradi';
+    // Alone, it waits a moment for others to show.
+    let answer = await ask(scene.ports.directory, target);
+    while (answer.status === 503) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 50);
+      });
+      answer = await ask(scene.ports.directory, target);
+    }
     expect(answer.status).toEqual(200);
     expect(JSON.parse(answer.body)).toEqual({
       addresses: [`127.0.0.1:${scene.ports.callers}`],
