Vouch for no answer whose end can't be told

Ruled out: a reset taken for an end (the socket closed without error). Change: such an answer is passed on as it came, ending with its connection; where the request may run again another upstream is asked first. Tests red before, green after.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,5 +1,6 @@
 // Bundles the product to dist/redwingmount.cjs and, with --binary, to the single executable
-// dist/redwingmount; bundles the stand-ins to dist/standins.cjs.
+// dist/redwingmount; bundles the stand-ins to dist/standins.cjs and a gateway to dist/gateway.cjs.
+// With --platform, builds only what the platform runs, target/redwingmount.cjs.
 import { execFileSync } from 'node:child_process';
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 
@@ -36,6 +37,7 @@
 
 await bundle('src/main.ts', 'dist/redwingmount.cjs');
 await bundle('standins/main.ts', 'dist/standins.cjs');
+await bundle('platform/main.ts', 'dist/gateway.cjs');
 
 if (process.argv.includes('--binary')) {
   mkdirSync('dist', { recursive: true });
--- a/src/gateway/answer-parser.ts
+++ b/src/gateway/answer-parser.ts
@@ -9,6 +9,8 @@
   readonly keepsAlive: boolean;
   /** The body's length as announced; undefined when it is chunked or ends with its connection. */
   readonly length: number | undefined;
+  /** Its body ends with the connection, so that an early end can't be told from the right one. */
+  readonly endsWithConnection: boolean;
 }
 
 /** What a parser tells of the bytes that it reads. */
@@ -69,6 +71,12 @@
 const allOf = (rawHeaders: readonly string[], name: string): readonly string[] =>
   rawHeaders.filter((_, i) => i % 2 === 1 && rawHeaders[i - 1]?.toLowerCase() === name);
 
+/** Statuses whose answers have no body. */
+const BODYLESS: ReadonlySet<number> = new Set([204, 304]);
+
+const isChunked = (rawHeaders: readonly string[]): boolean =>
+  headerOf(rawHeaders, 'transfer-encoding') !== undefined;
+
 /** The announced length; throws where framing is ambiguous. */
 const announcedLength = (rawHeaders: readonly string[]): number | undefined => {
   const lengths = allOf(rawHeaders, 'content-length');
@@ -143,6 +151,8 @@
       rawHeaders: [...rawHeaders],
       keepsAlive: info.shouldKeepAlive,
       length,
+      endsWithConnection:
+        !this.bodyless && length === undefined && !isChunked(rawHeaders) && !BODYLESS.has(status),
     });
     return this.bodyless ? 1 : 0;
   }
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -6,7 +6,13 @@
 
 import { headerOf, type AnswerHead } from './answer-parser';
 import type { GatewayContext } from './context';
-import { encodeRequest, outcomeOf, PROMISES_NOT_RUN, type CallerRequest } from './forwarding';
+import {
+  encodeRequest,
+  outcomeOf,
+  PROMISES_NOT_RUN,
+  UNFRAMED,
+  type CallerRequest,
+} from './forwarding';
 import type { RequestLog } from './request-log';
 import type { ServiceDesk } from './services';
 import type { AnswerBody, ExchangeResult } from './upstream-connection';
@@ -74,8 +80,8 @@
   /** The upstream of the last attempt. */
   lastUpstream = '';
 
-  /** The last failure that an upstream gave as its own answer. */
-  private failure: Extract<Reply, { kind: 'answer' }> | undefined;
+  /** What is passed on if no better answer comes: one whose end can't be told, or a failure. */
+  private fallback: Extract<Reply, { kind: 'answer' }> | undefined;
 
   constructor(
     private readonly context: CallContext,
@@ -187,7 +193,7 @@
 
   /** The final answer where there is no upstream to go to. */
   private giveUp(why: string, retryAfter: Millis): Reply {
-    if (this.failure) return this.failure;
+    if (this.fallback) return this.fallback;
     if (this.runs === 0) return { kind: 'refused', why, retryAfter };
     return { kind: 'lost', why, isLate: why === 'timeout' };
   }
@@ -236,7 +242,11 @@
     });
     clearTimeout(overdue);
     const now = clock.now();
-    const outcome = outcomeOf(result, this.request.id, this.context.dialect);
+    const outcome = outcomeOf(
+      result,
+      { id: this.request.id, idempotent: this.idempotent },
+      this.context.dialect,
+    );
     const isStream = result.kind === 'answered' && result.body.kind === 'stream';
     this.note(track, outcome, result, now - sentAt);
     if (isStream) result.body.stream.once('close', () => this.desk.release(track, this.request.id));
@@ -264,8 +274,9 @@
     const reply = { kind: 'answer', head: result.head, body: result.body } as const;
     if (outcome.kind === 'served') return { outcome, reply };
     if (outcome.kind === 'failed' && !PROMISES_NOT_RUN.has(result.head.status)) {
-      this.failure = reply;
+      this.fallback ??= reply;
     }
+    if (outcome.kind === 'unknown' && outcome.why === UNFRAMED) this.fallback = reply;
     return { outcome };
   }
 
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -25,16 +25,22 @@
 /** Statuses that say that a request has not run; only an upstream that says so besides is believed. */
 export const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** An answer that may be whole, but can't be told from one that was broken off. */
+export const UNFRAMED = 'unframed';
+
 const OK_CLASS = 2;
 const SERVER_ERROR_CLASS = 5;
 const MISDIRECTED = 421;
 
 const classOf = (status: number): number => Math.floor(status / 100);
 
-/** What an exchange came to. Only genuine answers count: for this request, signed, not encoded. */
+/**
+ * What an exchange came to. Only genuine answers count: for this request, signed, not encoded, and,
+ * where the request can be had again, with an end that can be told.
+ */
 export const outcomeOf = (
   result: ExchangeResult,
-  requestId: string,
+  { id, idempotent }: { readonly id: string; readonly idempotent: boolean },
   dialect: Dialect,
 ): AttemptOutcome => {
   if (result.kind === 'failed') {
@@ -52,10 +58,12 @@
     return { kind: 'failed', status };
   }
   const isGenuine =
-    headerOf(rawHeaders, dialect.requestId) === requestId &&
+    headerOf(rawHeaders, dialect.requestId) === id &&
     headerOf(rawHeaders, 'content-encoding') === undefined &&
     (classOf(status) !== OK_CLASS || headerOf(rawHeaders, dialect.signature) !== undefined);
-  return isGenuine ? { kind: 'served' } : { kind: 'unknown', why: 'not-genuine' };
+  if (!isGenuine) return { kind: 'unknown', why: 'not-genuine' };
+  if (idempotent && result.head.endsWithConnection) return { kind: 'unknown', why: UNFRAMED };
+  return { kind: 'served' };
 };
 
 /** A request's bytes for one upstream; `remaining` is the time that the caller still waits. */
--- a/src/gateway/replies.ts
+++ b/src/gateway/replies.ts
@@ -38,10 +38,12 @@
   closes: boolean,
 ): void => {
   const headers = endToEnd(head.rawHeaders);
-  if (closes) headers.push('connection', 'close');
+  if (closes || head.endsWithConnection) headers.push('connection', 'close');
+  // An end that could not be told is not vouched for by a length: it ends with the connection again.
+  if (head.endsWithConnection) res.removeHeader('transfer-encoding');
   switch (body.kind) {
     case 'whole':
-      if (!BODYLESS.has(head.status) && res.req.method !== 'HEAD') {
+      if (!BODYLESS.has(head.status) && res.req.method !== 'HEAD' && !head.endsWithConnection) {
         headers.push('content-length', String(body.bytes.length));
       }
       res.writeHead(head.status, headers);
--- /dev/null
+++ b/test/cli/explain.test.ts
@@ -0,0 +1,80 @@
+import { expect } from 'earl';
+import { describe, it } from 'node:test';
+
+import { explain, parseLogLine, type LogLine } from '../../src/cli/explain';
+
+const line = (source: string, fields: Readonly<Record<string, unknown>>): LogLine => {
+  const parsed = parseLogLine(`  1.25 ${source} ${JSON.stringify(fields)}`, source);
+  if (!parsed) throw new Error('a line is wanted');
+  return parsed;
+};
+
+const LINES = [
+  line('n1', { time: 900, event: 'upstream-joined', upstream: 'i-1', service: 's' }),
+  line('n1', { time: 950, event: 'upstream-joined', upstream: 'i-9', service: 's' }),
+  line('n1', { time: 1000, event: 'config-in-force', version: 4 }),
+  line('n1', {
+    time: 1005,
+    event: 'request',
+    request: 'a',
+    outcome: 'answer',
+    status: 500,
+    upstream: 'i-1',
+  }),
+  line('n1', {
+    time: 1004,
+    event: 'attempt',
+    request: 'a',
+    upstream: 'i-1',
+    outcome: 'failed',
+    status: 500,
+    tookMs: 3,
+  }),
+  line('n2', { time: 2000, event: 'request', request: 'b', outcome: 'refused', why: 'no-room' }),
+  line('n2', {
+    time: 3001,
+    event: 'attempt',
+    request: 'c',
+    upstream: 'i-2',
+    outcome: 'unknown',
+    why: 'timeout',
+    tookMs: 4000,
+  }),
+  line('n2', {
+    time: 3002,
+    event: 'request',
+    request: 'c',
+    outcome: 'lost',
+    why: 'timeout',
+    upstream: 'i-2',
+  }),
+];
+
+const causeOf = (id: string): string => explain(LINES, id).at(-1) ?? '';
+
+describe('explain', () => {
+  it('puts a request’s lines and the beliefs that decided it in order', () => {
+    const events = explain(LINES, 'a').map((text) => text.split(' ')[2]);
+    expect(events.slice(0, 4)).toEqual([
+      'upstream-joined',
+      'config-in-force',
+      'attempt',
+      'request',
+    ]);
+  });
+
+  it('says why: a failure of the upstream, a refusal, a hang, a lost node', () => {
+    expect(causeOf('a').includes('upstream i-1 answered 500 after 3 ms')).toEqual(true);
+    expect(causeOf('b')).toEqual('cause: the gateway refused it (no-room) and it did not run');
+    expect(causeOf('c').includes('upstream i-2 gave no usable answer (timeout)')).toEqual(true);
+    const cut = LINES.filter(({ event }) => event !== 'request');
+    expect(explain(cut, 'c').at(-1)?.includes('its node died or was cut off')).toEqual(true);
+    expect(causeOf('nobody')).toEqual('no line names request nobody');
+  });
+
+  it('skips what is no line of a gateway', () => {
+    expect(parseLogLine('some text', 'n')).toEqual(undefined);
+    expect(parseLogLine('{"time":"x"}', 'n')).toEqual(undefined);
+    expect(parseLogLine('{broken', 'n')).toEqual(undefined);
+  });
+});
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -52,11 +52,30 @@
     });
   });
 
-  it('that end with their connection are whole', async () => {
+  it('that end with their connection are passed on with no length of ours', async () => {
     scene.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'unframed' }));
-    const seen = await scene.request('unframed', `${SAFE}x`);
-    expect(seen.status).toEqual(200);
-    expect(seen.body.endsWith(' unframed')).toEqual(true);
+    for (const [id, path, method] of [
+      ['unframed-safe', SAFE, 'GET'],
+      ['unframed-unsafe', UNSAFE, 'POST'],
+    ] as const) {
+      const seen = await scene.request(id, `${path}x`, { method });
+      expect(seen.status).toEqual(200);
+      expect(seen.body.endsWith(` ${id}`)).toEqual(true);
+      expect(seen.headers['content-length']).toEqual(undefined);
+      expect(seen.headers['transfer-encoding']).toEqual(undefined);
+      expect(seen.headers.connection).toEqual('close');
+    }
+    expect(scene.runsOf('unframed-unsafe')).toEqual(1);
+  });
+
+  it('that end with their connection are asked for again where that is safe', async () => {
+    scene.upstreams.forEach((upstream, i) =>
+      Object.assign(upstream, { mood: i === 0 ? 'unframed' : 'well' }),
+    );
+    for (let i = 0; i < 6; i++) {
+      const seen = await scene.request(`framed-${i}`, `${SAFE}x`);
+      expect(seen.headers['content-length'] !== undefined).toEqual(true);
+    }
   });
 
   it('pass a failure on as the upstream gave it', async () => {
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -62,7 +62,7 @@
   });
 
 /** The first of `count` ports in a row that nothing listens on. */
-const freePorts = async (count: number): Promise<number> => {
+export const freePorts = async (count: number): Promise<number> => {
   for (;;) {
     const first = await listenOn(0);
     if (!first) throw new Error('no free port');
@@ -85,6 +85,27 @@
   'floorShare=0.7',
 ];
 
+/** A platform's settings file for a gateway with five ports in a row, from the callers' on. */
+export const settingsText = (
+  callers: number,
+  storePort: number,
+  seeds: readonly string[] = [],
+): string =>
+  [
+    'nodeName = "edge-1"',
+    `ip = "${ADDRESS}"`,
+    'zone = "takoradi"',
+    `portRange = [${callers + 3}, ${callers + 4}]`,
+    `seeds = ${JSON.stringify(seeds)}`,
+    `bounds = ${JSON.stringify(BOUNDS)}`,
+    '[listen]',
+    `front = "${ADDRESS}:${callers}"`,
+    `readiness = "${ADDRESS}:${callers + 1}"`,
+    `directory = "${ADDRESS}:${callers + 2}"`,
+    '[platform]',
+    `address = "${ADDRESS}:${storePort}"`,
+  ].join('\n');
+
 /** A route as the operators write it. */
 export const routeOf = (
   pathPrefix: string,
@@ -154,24 +175,8 @@
       Array.from({ length: upstreamCount }, (_, i) => startPlatformUpstream(`i-${i}`)),
     );
     const callers = await freePorts(5);
-    const [readiness, directory, peers] = [callers + 1, callers + 2, callers + 3];
-    const settings = parseSettings(
-      'test',
-      [
-        'nodeName = "edge-1"',
-        `ip = "${ADDRESS}"`,
-        'zone = "takoradi"',
-        `portRange = [${peers}, ${peers + 1}]`,
-        'seeds = []',
-        `bounds = ${JSON.stringify(BOUNDS)}`,
-        '[listen]',
-        `front = "${ADDRESS}:${callers}"`,
-        `readiness = "${ADDRESS}:${readiness}"`,
-        `directory = "${ADDRESS}:${directory}"`,
-        '[platform]',
-        `address = "${ADDRESS}:${store.port}"`,
-      ].join('\n'),
-    ).unsafeCoerce();
+    const [readiness, directory] = [callers + 1, callers + 2];
+    const settings = parseSettings('test', settingsText(callers, store.port)).unsafeCoerce();
     const telemetry = recordingTelemetry();
     const clock = systemClock;
     const client = new StoreClient(settings.store, clock);
