--- a/src/gateway/answer-parser.ts
+++ b/src/gateway/answer-parser.ts
@@ -21,6 +21,8 @@
   onEnd(hasMore: boolean): void;
 }
 
+/** The most that the headers of an answer may have; the library counts only whole chunks. */
+const MAX_HEAD_BYTES = 64 * 1024;
 /** The longest line that announces a chunk. */
 const MAX_CHUNK_LINE = 1024;
 const CHUNK_SIZE = /^[0-9a-fA-F]{1,12}[ \t]*(;.*)?$/;
@@ -74,7 +76,7 @@
 /** Statuses whose answers have no body. */
 const BODYLESS: ReadonlySet<number> = new Set([204, 304]);
 
-const isChunked = (rawHeaders: readonly string[]): boolean =>
+const hasCoding = (rawHeaders: readonly string[]): boolean =>
   headerOf(rawHeaders, 'transfer-encoding') !== undefined;
 
 /** The announced length; throws where framing is ambiguous. */
@@ -140,6 +142,8 @@
   }): number {
     const { statusCode: status, headers: rawHeaders } = info;
     if (status === SWITCHING_PROTOCOLS) throw new Error('unexpected upgrade');
+    const headBytes = rawHeaders.reduce((sum, part) => sum + part.length, 0);
+    if (headBytes > MAX_HEAD_BYTES) throw new Error('head too long');
     if (Math.floor(status / 100) === CONTINUE_CLASS) {
       this.isInterim = true;
       return 1;
@@ -152,7 +156,7 @@
       keepsAlive: info.shouldKeepAlive,
       length,
       endsWithConnection:
-        !this.bodyless && length === undefined && !isChunked(rawHeaders) && !BODYLESS.has(status),
+        !this.bodyless && length === undefined && !hasCoding(rawHeaders) && !BODYLESS.has(status),
     });
     return this.bodyless ? 1 : 0;
   }
--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -3,8 +3,12 @@
 import type { Instant, Millis } from '../model';
 import type { Clock, Feed, FeedFault, FeedPage, Telemetry } from '../ports';
 
-/** How long a read waits at the store for something new; a hung one is noticed after it. */
-const WAIT: Millis = 8000;
+/**
+ * How long a read waits at the store for something new; a hung one is noticed after it. Drawn anew
+ * each time, so that of many gateways with hung reads one notices soon and tells the others.
+ */
+const SHORTEST_WAIT: Millis = 3000;
+const LONGEST_WAIT: Millis = 15_000;
 /** Time allowed for one read beside the wait; the store answers in milliseconds. */
 const READ_TIME: Millis = 800;
 /** Pause after a read that failed. */
@@ -39,6 +43,7 @@
     private readonly feed: Feed<T>,
     private readonly clock: Clock,
     private readonly telemetry: Telemetry,
+    private readonly draw: () => number,
     private readonly onPage: (page: FeedPage<T>) => void,
   ) {}
 
@@ -56,7 +61,7 @@
   async follow(): Promise<void> {
     while (!this.closed) {
       const before = this.furthest;
-      await this.read(WAIT);
+      await this.read(SHORTEST_WAIT + this.draw() * (LONGEST_WAIT - SHORTEST_WAIT));
       if (!this.isReachable) await sleep(RETRY_AFTER);
       else if (this.furthest > before) await sleep(GATHER);
     }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -86,9 +86,9 @@
     private readonly context: GatewayContext,
     ports: GatewayPorts,
   ) {
-    const { settings, clock, telemetry, dialect } = context;
+    const { settings, clock, telemetry, dialect, draw } = context;
     this.pool = new UpstreamPool(dialect.requestId, clock);
-    this.configFollower = new Follower('config', ports.configFeed, clock, telemetry, (page) =>
+    this.configFollower = new Follower('config', ports.configFeed, clock, telemetry, draw, (page) =>
       this.onConfig(page),
     );
     this.upstreamFollower = new Follower(
@@ -96,6 +96,7 @@
       ports.upstreamFeed,
       clock,
       telemetry,
+      draw,
       (page) => this.onUpstreams(page),
     );
     this.fleet = new Fleet(context, {
--- /dev/null
+++ b/test/gateway/follower.test.ts
@@ -0,0 +1,124 @@
+import { expect } from 'earl';
+import { afterEach, describe, it } from 'node:test';
+import { Left, Right, type Either } from 'purify-ts';
+
+import { Follower } from '../../src/gateway/follower';
+import type { Feed, FeedFault, FeedPage } from '../../src/ports';
+
+import { recordingTelemetry } from './harness';
+
+type Page = Either<FeedFault, FeedPage<string>>;
+
+const page = (position: number, items: readonly string[] = [], whole = false): Page =>
+  Right({ whole, items, position });
+
+/** A feed whose reads are answered by the test. */
+class ScriptedFeed implements Feed<string> {
+  readonly reads: { readonly kind: string; readonly answer: (answer: Page) => void }[] = [];
+
+  readNewest(): Promise<Page> {
+    return this.read('newest');
+  }
+
+  readSince(position: number, wait: number): Promise<Page> {
+    return this.read(wait > 0 ? `wait from ${position}` : `read from ${position}`);
+  }
+
+  /** Answers the nth read once it has come. */
+  async answer(n: number, answer: Page): Promise<void> {
+    await this.until(() => this.reads.length > n);
+    this.reads[n]?.answer(answer);
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+
+  async until(isSo: () => boolean): Promise<void> {
+    const deadline = Date.now() + 5000;
+    while (!isSo()) {
+      if (Date.now() > deadline) throw new Error(this.reads.map(({ kind }) => kind).join(', '));
+      await new Promise((resolve) => {
+        setTimeout(resolve, 5);
+      });
+    }
+  }
+
+  private read(kind: string): Promise<Page> {
+    return new Promise((resolve) => {
+      this.reads.push({ kind, answer: resolve });
+    });
+  }
+}
+
+describe('a follower', () => {
+  let follower: Follower<string>;
+  afterEach(() => follower.close());
+
+  const start = (): { feed: ScriptedFeed; items: string[]; events: () => readonly string[] } => {
+    const feed = new ScriptedFeed();
+    const items: string[] = [];
+    const telemetry = recordingTelemetry();
+    const clock = { now: () => performance.now(), wall: () => Date.now() };
+    follower = new Follower(
+      'test',
+      feed,
+      clock,
+      telemetry,
+      () => 0.5,
+      (read) => items.push(...read.items),
+    );
+    void follower.follow();
+    return { feed, items, events: () => telemetry.events.map(({ name }) => name) };
+  };
+
+  it('reads on from where it is', async () => {
+    const { feed, items } = start();
+    await feed.answer(0, page(3, ['a'], true));
+    await feed.answer(1, page(4, ['b']));
+    await feed.until(() => feed.reads.length === 3);
+    expect(feed.reads.map(({ kind }) => kind)).toEqual(['newest', 'wait from 3', 'wait from 4']);
+    expect(items).toEqual(['a', 'b']);
+  });
+
+  it('reads for itself what a peer has read while its own read hangs', async () => {
+    const { feed, items } = start();
+    await feed.answer(0, page(3, ['a'], true));
+    await feed.until(() => feed.reads.length === 2);
+    follower.hint(3);
+    follower.hint(5);
+    await feed.answer(2, page(5, ['b', 'c']));
+    expect(feed.reads.map(({ kind }) => kind)).toEqual(['newest', 'wait from 3', 'read from 3']);
+    expect(items).toEqual(['a', 'b', 'c']);
+    expect(follower.head).toEqual(5);
+  });
+
+  it('takes nothing back when a hung read ends late', async () => {
+    const { feed } = start();
+    await feed.answer(0, page(3, [], true));
+    await feed.until(() => feed.reads.length === 2);
+    follower.hint(5);
+    await feed.answer(2, page(5, ['b', 'c']));
+    await feed.answer(1, page(4, ['b']));
+    expect(follower.head).toEqual(5);
+    await feed.until(() => feed.reads.length === 4);
+    expect(feed.reads.at(-1)?.kind).toEqual('wait from 5');
+  });
+
+  it('reads all anew when its place is gone, but not from a reading that is behind', async () => {
+    const { feed, items, events } = start();
+    await feed.answer(0, page(9, ['a'], true));
+    await feed.answer(1, Left({ kind: 'position-gone' }));
+    await feed.answer(2, page(7, ['stale'], true));
+    await feed.answer(3, page(12, ['fresh'], true));
+    expect(items).toEqual(['a', 'fresh']);
+    expect(events()).toEqual(['feed-history-lost', 'feed-lost', 'feed-regained']);
+  });
+
+  it('says once that the store is lost, and once that it is back', async () => {
+    const { feed, events } = start();
+    await feed.answer(0, Left({ kind: 'refused', status: 503 }));
+    await feed.answer(1, Left({ kind: 'unreachable', detail: 'no answer in time' }));
+    await feed.answer(2, page(1, [], true));
+    expect(events()).toEqual(['feed-lost', 'feed-regained']);
+  });
+});
