--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -14,7 +14,7 @@
   type CallerRequest,
 } from './forwarding';
 import type { RequestLog } from './request-log';
-import type { ServiceDesk } from './services';
+import type { ServiceDesk } from './service-desk';
 import type { AnswerBody, ExchangeResult } from './upstream-connection';
 import type { UpstreamPool } from './upstream-pool';
 
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -8,7 +8,7 @@
 
 import type { GatewayContext } from './context';
 import { DatagramLink, type FeedHeads, type PeerTopic } from './peer-link';
-import type { ServiceDesk } from './services';
+import type { ServiceDesk } from './service-desk';
 import {
   beliefMessages,
   decodeBeliefs,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,7 +10,6 @@
 } from '../core/gateway';
 import {
   MILLIS_PER_SECOND,
-  type GatewayRoute,
   type GatewaySettings,
   type GatewayUpstream,
   type Millis,
@@ -25,7 +24,7 @@
 import { Fleet } from './fleet';
 import type { CallerRequest } from './forwarding';
 import { RequestLog } from './request-log';
-import { ServiceDesk } from './services';
+import { ServiceDesk } from './service-desk';
 import { createDirectoryServer, createMetricsServer, createReadinessServer } from './small-servers';
 import { UpstreamPool } from './upstream-pool';
 
@@ -49,7 +48,6 @@
 const STOP_MARGIN: Millis = 300;
 /** How often a stopping gateway looks whether it is idle. */
 const STOP_PERIOD: Millis = 50;
-const FIRST_ERROR = 400;
 
 /** One process between callers and upstreams. */
 export class Gateway {
@@ -223,43 +221,18 @@
     const desk = this.desk(this.dealer.next(route));
     const call = new Call(this.call, request, route, desk);
     const reply = await call.run();
-    this.note(request, route, desk, call, reply);
+    this.call.log.ended({
+      request,
+      route,
+      desk,
+      call,
+      reply,
+      configVersion: routes.config.version,
+      upstreamsAge: this.upstreamFollower.age(this.context.clock.now()),
+    });
     return reply;
   }
 
-  /** One line and the metrics of a request that has ended. */
-  private note(
-    request: CallerRequest,
-    route: GatewayRoute,
-    desk: ServiceDesk,
-    call: Call,
-    reply: Reply,
-  ): void {
-    const { clock, telemetry } = this.context;
-    const now = clock.now();
-    const status = reply.kind === 'answer' ? reply.head.status : 0;
-    const fields = {
-      request: request.id,
-      route: route.name,
-      service: desk.name,
-      outcome: reply.kind,
-      ...('why' in reply ? { why: reply.why } : {}),
-      ...('retryAfter' in reply ? { retryAfterMs: Math.round(reply.retryAfter) } : {}),
-      ...(status > 0 ? { status } : {}),
-      attempts: call.sends,
-      upstream: call.lastUpstream,
-      tookMs: Math.round(now - request.arrivedAt),
-      waiting: desk.waiting,
-      config: this.routes?.config.version ?? -1,
-      upstreamsAgeMs: Math.round(this.upstreamFollower.age(now)),
-    };
-    const isRoutine = reply.kind === 'answer' && status < FIRST_ERROR && call.sends === 1;
-    if (isRoutine) this.call.log.routine('request', fields);
-    else this.call.log.notable('request', fields);
-    telemetry.latency('request', now - request.arrivedAt);
-    telemetry.count('requests', { service: desk.name, outcome: reply.kind });
-  }
-
   private desk(service: ServiceName): ServiceDesk {
     const known = this.desks.get(service);
     if (known) return known;
--- a/src/gateway/request-log.ts
+++ b/src/gateway/request-log.ts
@@ -1,9 +1,26 @@
-import type { Instant, Millis } from '../model';
+import type { GatewayRoute, Instant, Millis } from '../model';
 import type { Clock, Field, Telemetry } from '../ports';
 
+import type { Call, Reply } from './call';
+import type { CallerRequest } from './forwarding';
+import type { ServiceDesk } from './service-desk';
+
+/** A request that has ended, and what decided its end. */
+export interface EndedRequest {
+  readonly request: CallerRequest;
+  readonly route: GatewayRoute;
+  readonly desk: ServiceDesk;
+  readonly call: Call;
+  readonly reply: Reply;
+  readonly configVersion: number;
+  /** Since the upstreams were last read. */
+  readonly upstreamsAge: Millis;
+}
+
 /** Lines a second on requests that went as they should; failures are not bounded by it. */
 const ROUTINE_PER_SECOND = 20;
 const SECOND: Millis = 1000;
+const FIRST_ERROR_STATUS = 400;
 
 /** Writes one line a request; of those that went as they should, no more than a set rate. */
 export class RequestLog {
@@ -18,6 +35,32 @@
     private readonly telemetry: Telemetry,
   ) {}
 
+  /** The one line and the metrics of a request that has ended. */
+  ended({ request, route, desk, call, reply, configVersion, upstreamsAge }: EndedRequest): void {
+    const took = this.clock.now() - request.arrivedAt;
+    const status = reply.kind === 'answer' ? reply.head.status : 0;
+    const fields = {
+      request: request.id,
+      route: route.name,
+      service: desk.name,
+      outcome: reply.kind,
+      ...('why' in reply ? { why: reply.why } : {}),
+      ...('retryAfter' in reply ? { retryAfterMs: Math.round(reply.retryAfter) } : {}),
+      ...(status > 0 ? { status } : {}),
+      attempts: call.sends,
+      upstream: call.lastUpstream,
+      tookMs: Math.round(took),
+      waiting: desk.waiting,
+      config: configVersion,
+      upstreamsAgeMs: Math.round(upstreamsAge),
+    };
+    const isRoutine = reply.kind === 'answer' && status < FIRST_ERROR_STATUS && call.sends === 1;
+    if (isRoutine) this.routine('request', fields);
+    else this.notable('request', fields);
+    this.telemetry.latency('request', took);
+    this.telemetry.count('requests', { service: desk.name, outcome: reply.kind });
+  }
+
   /** A request or attempt that failed, was refused or repeated. */
   notable(name: string, fields: Readonly<Record<string, Field>>): void {
     this.telemetry.event(name, fields);
