--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -23,11 +23,17 @@
     except: ['./adapters', './ports', './core', './model'],
   },
   { target: './src/tasks', from: './src', except: ['./tasks', './ports', './core', './model'] },
-  { target: './src', from: ['./standins', './test', './bench', './scripts'] },
+  { target: './src', from: ['./standins', './test', './bench', './scripts', './platform'] },
+  {
+    target: './src/gateway',
+    from: './src',
+    except: ['./gateway', './adapters', './ports', './core', './model'],
+  },
+  { target: './platform', from: ['./standins', './test', './bench', './scripts'] },
 ];
 
 export default tseslint.config(
-  { ignores: ['dist', 'node_modules'] },
+  { ignores: ['dist', 'target', 'journal', 'node_modules'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
