Let go of the answer of the attempt that lost

Cause: read as a newcomer: if both attempts of a hedged request answer with a large body at once, nobody reads the second, and its connection stays held. Change: such an answer is let go of. Figures: none; no test (needs two answers of over 2 MB in one turn).

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -64,6 +64,11 @@
 /** Decimals of a chance in a log line. */
 const ILL_DECIMALS = 3;
 
+/** Lets go of an answer that nobody reads, so that its connection is not held. */
+const discard = ({ reply }: AttemptEnd): void => {
+  if (reply?.kind === 'answer' && reply.body.kind === 'stream') reply.body.stream.destroy();
+};
+
 /** One caller's request on its way through this gateway. */
 export class Call {
   private readonly idempotent: boolean;
@@ -140,6 +145,7 @@
     const other = winner.leg === first ? second : first;
     if (!winner.end.reply) return other.ended;
     other.cancel();
+    void other.ended.then(discard);
     return winner.end;
   }
 
