Ask every other owner for its beliefs, also those heard of late

Cause: a test of two gateways: one that starts is the only member for a moment, owned its services then, and asked nobody; whoever it heard of later was not asked. Ruled out: lost datagrams (sightings and heads arrived). Change: an owner asks each other owner once. Test red before, green after.

--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -4,7 +4,7 @@
 import { ownersOf } from '../core/gateway';
 import { decodeMembershipMessage, Membership, type MembershipEvent } from '../core/membership';
 import type { Evidence, Track } from '../core/placement';
-import type { DataCentre, Instant, Member, Millis, ServiceName } from '../model';
+import type { DataCentre, Incarnation, Instant, Member, Millis, ServiceName } from '../model';
 
 import type { GatewayContext } from './context';
 import { DatagramLink, type FeedHeads, type PeerTopic } from './peer-link';
@@ -52,8 +52,8 @@
   /** Owners by service; emptied when the members or the routes change. */
   private readonly owners = new Map<ServiceName, readonly Member[]>();
 
-  /** Services that this node owned when the owners last changed. */
-  private readonly owned = new Set<ServiceName>();
+  /** Services that this node owns, and the other owners that it has asked for beliefs. */
+  private readonly owned = new Map<ServiceName, ReadonlySet<Incarnation>>();
 
   private ticker: NodeJS.Timeout | undefined;
 
@@ -151,32 +151,35 @@
     this.outbox.add(service, track, evidence);
   }
 
-  /** The members or the routes have changed; whoever begins to own a service asks for beliefs. */
+  /** The members or the routes have changed. */
   onOwnersChanged(): void {
     this.owners.clear();
-    const { address, port: peerPort } = this.context.settings.listen.peers;
     this.service.desks().forEach(({ name }) => {
       const isOwner = this.isOwnerOf(name);
-      if (isOwner === this.owned.has(name)) return;
-      this.context.telemetry.event(isOwner ? 'owners-joined' : 'owners-left', {
-        service: name,
-        owners: this.ownersFor(name).length,
-        members: this.members.length,
-      });
-      if (!isOwner) {
-        this.owned.delete(name);
-        return;
+      if (isOwner !== this.owned.has(name)) {
+        this.context.telemetry.event(isOwner ? 'owners-joined' : 'owners-left', {
+          service: name,
+          owners: this.ownersFor(name).length,
+          members: this.members.length,
+        });
       }
-      this.owned.add(name);
-      const message: BeliefsMessage = {
-        kind: 'wanted',
-        service: name,
-        from: { address, peerPort },
-      };
-      this.others(name).forEach((owner) => this.link.send(owner, 'beliefs', message));
+      if (isOwner) this.askForBeliefs(name);
+      else this.owned.delete(name);
     });
   }
 
+  /** An owner asks each other owner once what it knows; at its start it hears of them one by one. */
+  private askForBeliefs(service: ServiceName): void {
+    const { address, port: peerPort } = this.context.settings.listen.peers;
+    const asked = this.owned.get(service) ?? new Set();
+    const others = this.others(service);
+    const message: BeliefsMessage = { kind: 'wanted', service, from: { address, peerPort } };
+    others
+      .filter((owner) => !asked.has(owner.incarnation))
+      .forEach((owner) => this.link.send(owner, 'beliefs', message));
+    this.owned.set(service, new Set(others.map(({ incarnation }) => incarnation)));
+  }
+
   private ownersFor(service: ServiceName): readonly Member[] {
     const known = this.owners.get(service);
     if (known) return known;
--- /dev/null
+++ b/test/gateway/fleet.test.ts
@@ -0,0 +1,106 @@
+import { expect } from 'earl';
+import { after, describe, it } from 'node:test';
+
+import { dialect, parseSettings } from '../../platform';
+import { systemClock } from '../../src/adapters';
+import { Fleet } from '../../src/gateway/fleet';
+import { ServiceDesk } from '../../src/gateway/service-desk';
+import type { GatewayUpstream } from '../../src/model';
+
+import { freePorts, recordingTelemetry, settingsText } from './harness';
+
+const SERVICE = 'shop';
+
+const upstream: GatewayUpstream = {
+  id: 'i-1',
+  service: SERVICE,
+  endpoint: { address: '127.0.0.1', port: 1 },
+  dataCentre: 'takoradi',
+  slots: 6,
+  state: 'ready',
+  born: 7,
+  report: 1,
+  warmAt: 0,
+};
+
+/** A gateway's fleet and its one desk, on an address of its own. */
+const createNode = (
+  text: string,
+  address: string,
+): { fleet: Fleet; desk: ServiceDesk; heads: (readonly number[])[] } => {
+  const settings = parseSettings(
+    'test',
+    text.replaceAll('"127.0.0.1', `"${address}`),
+  ).unsafeCoerce();
+  const context = {
+    settings: { ...settings, seeds: ['127.0.0.1'] },
+    clock: systemClock,
+    telemetry: recordingTelemetry(),
+    dialect,
+    draw: () => 0.5,
+  };
+  const heads: (readonly number[])[] = [];
+  const desks = new Map<string, ServiceDesk>();
+  const fleet = new Fleet(context, {
+    heads: () => [3, 4],
+    onHeads: (told) => heads.push(told),
+    hostsOf: () => ['shop.example'],
+    desks: () => desks,
+  });
+  const desk = new ServiceDesk(SERVICE, context, () => fleet.isOwnerOf(SERVICE));
+  desk.put(upstream);
+  desks.set(SERVICE, desk);
+  return { fleet, desk, heads };
+};
+
+const until = async (isSo: () => boolean): Promise<void> => {
+  const deadline = Date.now() + 10_000;
+  while (!isSo()) {
+    if (Date.now() > deadline) throw new Error(`did not come about: ${isSo.toString()}`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+  }
+};
+
+describe('gateways of a fleet', () => {
+  const stops: (() => void)[] = [];
+  after(() => stops.forEach((stop) => stop()));
+
+  it('find each other, share what they see, and tell a newcomer what they believe', async () => {
+    const text = settingsText(await freePorts(5), 1);
+    const first = createNode(text, '127.0.0.1');
+    const second = createNode(text, '127.0.0.2');
+    stops.push(() => [first, second].forEach(({ fleet }) => fleet.stop()));
+    await Promise.all([first.fleet.listen(), second.fleet.listen()]);
+
+    first.fleet.join();
+    const [known] = first.desk.book.all();
+    known?.learn('failed-early', systemClock.now());
+    known?.learn('failed-early', systemClock.now());
+    expect(first.fleet.sharersOf(SERVICE)).toEqual(1);
+    expect(second.fleet.sharersOf(SERVICE)).toEqual(0);
+
+    second.fleet.join();
+    await until(() => second.fleet.sharersOf(SERVICE) === 2);
+    await until(() => first.fleet.sharersOf(SERVICE) === 2);
+    expect(first.fleet.addressesFor('takoradi', 'shop.example').length).toEqual(2);
+    expect(first.heads.some(([config, upstreams]) => config === 3 && upstreams === 4)).toEqual(
+      true,
+    );
+    await until(() => (second.desk.book.all()[0]?.belief.ill ?? 0) > 0.8);
+
+    const [track] = second.desk.book.all();
+    if (!track) throw new Error('the desk has an upstream');
+    for (let i = 0; i < 6; i++) {
+      second.fleet.sighted(SERVICE, track, 'failed-late');
+      second.fleet.sighted(SERVICE, track, 'good');
+    }
+    const heardAt = first.desk.book.all()[0]?.belief.at ?? 0;
+    await until(() => (first.desk.book.all()[0]?.belief.at ?? 0) >= heardAt);
+    await until(() => (first.desk.book.all()[0]?.lastSentAt ?? 0) > 0);
+
+    second.fleet.leave();
+    await until(() => first.fleet.addressesFor('takoradi', 'shop.example').length === 1);
+  });
+});
