--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -168,15 +168,14 @@
       return;
     }
     this.runs.push(seen);
-    let finished = false;
-    const timer = setTimeout(() => {
-      finished = true;
-      this.finish(socket, seen);
+    const onClose = (): void => {
+      this.cancelled.push(seen.id);
+    };
+    setTimeout(() => {
+      socket.off('close', onClose);
+      if (!socket.destroyed) this.finish(socket, seen);
     }, this.work);
-    socket.once('close', () => {
-      clearTimeout(timer);
-      if (!finished) this.cancelled.push(seen.id);
-    });
+    socket.once('close', onClose);
   }
 }
 
