Keep upstreams whose registrations lapsed with the store

Cause: registrations run out while the store is away. When it came back, every gateway read 39 removals at once (1560 upstream-left lines at 40 gateways after each of three outages), took all upstreams for gone and refused all requests with 503 until they had registered again, 1 to 2 s later. Ruled out: waiting longer before the first read (departures that really happened would be learnt late); keeping every removed upstream for a while (the bound on departures would be broken where an upstream leaves without notice). 15 of 40 gateways had not noticed the outage, as their read simply hung, so the store's return alone is not enough to go by. Change: after the store's return, or where three in ten or more are removed in one reading, upstreams that had not said that they leave stay in use for two seconds or the bound on departures less 300 ms, then count as gone. Inventory takes this part out of gateway.ts.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -3,3 +3,4 @@
 export * from './owners';
 export * from './repeat-allowance';
 export * from './attempt-outcome';
+export * from './lapse';
--- /dev/null
+++ b/src/core/gateway/lapse.ts
@@ -0,0 +1,41 @@
+import type { Instant, Millis } from '../../model';
+
+/** Upstreams register again within this time of the store's return; from the users' bounds. */
+const REGISTER_AGAIN: Millis = 2000;
+/** Part of the time that a departure may take which is left for requests on their way. */
+const DEPARTURE_MARGIN: Millis = 300;
+/** Removals read at once that can't be single departures: at least so many... */
+const MANY = 3;
+/** ...and this share of all upstreams; planned replacements take away fewer at a time. */
+const MANY_SHARE = 0.3;
+
+/** Removals that one reading of the store brings, and when. */
+export interface Removals {
+  /** Upstreams that were in service and had not said that they leave. */
+  readonly count: number;
+  /** Upstreams in service before the reading. */
+  readonly known: number;
+  readonly now: Instant;
+  /** When the store last answered again after it did not; -Infinity if it always did. */
+  readonly storeReturnedAt: Instant;
+  /** The time in which a leaving upstream must stop getting new work. */
+  readonly departure: Millis;
+}
+
+/**
+ * Until when upstreams whose registration is gone stay in use; undefined if they have left. Load
+ * pattern: the store comes back without most registrations, and the upstreams, all well, register
+ * again one by one; to take them for gone would refuse all requests meanwhile.
+ */
+export const lapsedUntil = ({
+  count,
+  known,
+  now,
+  storeReturnedAt,
+  departure,
+}: Removals): Instant | undefined => {
+  const isAfterReturn = now - storeReturnedAt < REGISTER_AGAIN;
+  const isMany = count >= MANY && count >= MANY_SHARE * known;
+  if (!isAfterReturn && !isMany) return undefined;
+  return now + Math.min(REGISTER_AGAIN, departure - DEPARTURE_MARGIN);
+};
--- a/src/core/gateway/upstream-list.ts
+++ b/src/core/gateway/upstream-list.ts
@@ -1,4 +1,4 @@
-import { UNKNOWN_BIRTH, type GatewayUpstream, type UpstreamId } from '../../model';
+import { UNKNOWN_BIRTH, type GatewayUpstream, type Instant, type UpstreamId } from '../../model';
 
 /** One change of an upstream's entry, in the order of the store. */
 export type UpstreamChange =
@@ -11,7 +11,9 @@
       readonly kind: 'joined' | 'reborn' | 'draining' | 'moved';
       readonly upstream: GatewayUpstream;
     }
-  | { readonly kind: 'left'; readonly id: UpstreamId };
+  /** Its registration is gone, maybe only for a moment; it stays in use until then. */
+  | { readonly kind: 'lapsed'; readonly id: UpstreamId; readonly until: Instant }
+  | { readonly kind: 'left'; readonly upstream: GatewayUpstream };
 
 const isOlder = (next: GatewayUpstream, known: GatewayUpstream): boolean => {
   if (next.born !== known.born) return next.born < known.born;
@@ -39,6 +41,9 @@
 export class UpstreamList {
   private readonly upstreams = new Map<UpstreamId, GatewayUpstream>();
 
+  /** Upstreams whose registration has lapsed, and when they count as gone. */
+  private readonly lapsed = new Map<UpstreamId, Instant>();
+
   get size(): number {
     return this.upstreams.size;
   }
@@ -51,28 +56,59 @@
     return this.upstreams.get(id);
   }
 
-  apply(change: UpstreamChange): UpstreamNews | undefined {
+  /** Changes that would take away upstreams that are in service and have not said that they leave. */
+  removals(changes: readonly UpstreamChange[]): number {
+    return changes.filter(
+      (change) => change.kind === 'removed' && this.upstreams.get(change.id)?.state === 'ready',
+    ).length;
+  }
+
+  /** `keepUntil`: when an upstream that is removed without notice counts as gone; at once if undefined. */
+  apply(change: UpstreamChange, keepUntil?: Instant): UpstreamNews | undefined {
     switch (change.kind) {
       case 'removed':
-        return this.upstreams.delete(change.id) ? { kind: 'left', id: change.id } : undefined;
+        return this.remove(change.id, keepUntil);
       case 'put': {
         const { upstream } = change;
         const known = this.upstreams.get(upstream.id);
         if (known && isOlder(upstream, known)) return undefined;
+        this.lapsed.delete(upstream.id);
         this.upstreams.set(upstream.id, upstream);
         return newsOf(upstream, known);
       }
     }
   }
 
-  /** Takes a whole reading of the store; what it lacks has left. */
-  replace(changes: readonly UpstreamChange[]): readonly UpstreamNews[] {
+  /** A whole reading of the store as changes: what it lacks is removed. */
+  changesTo(changes: readonly UpstreamChange[]): readonly UpstreamChange[] {
     const present = new Set(
       changes.flatMap((change) => (change.kind === 'put' ? [change.upstream.id] : [])),
     );
     const gone = [...this.upstreams.keys()].filter((id) => !present.has(id));
-    return [...gone.map((id): UpstreamChange => ({ kind: 'removed', id })), ...changes].flatMap(
-      (change) => this.apply(change) ?? [],
-    );
+    return [...gone.map((id): UpstreamChange => ({ kind: 'removed', id })), ...changes];
+  }
+
+  /** Takes out the upstreams that have not registered again in time. */
+  expire(now: Instant): readonly UpstreamNews[] {
+    const due = [...this.lapsed].filter(([, until]) => now >= until).map(([id]) => id);
+    return due.flatMap((id) => this.remove(id) ?? []);
+  }
+
+  /** When the next upstream counts as gone; undefined if none has lapsed. */
+  nextExpiry(): Instant | undefined {
+    return this.lapsed.size === 0 ? undefined : Math.min(...this.lapsed.values());
+  }
+
+  private remove(id: UpstreamId, keepUntil?: Instant): UpstreamNews | undefined {
+    const upstream = this.upstreams.get(id);
+    if (!upstream) return undefined;
+    if (keepUntil !== undefined && upstream.state === 'ready') {
+      if (this.lapsed.has(id)) return undefined;
+      this.lapsed.set(id, keepUntil);
+      return { kind: 'lapsed', id, until: keepUntil };
+    }
+    this.lapsed.delete(id);
+    this.upstreams.delete(id);
+    return { kind: 'left', upstream };
   }
 }
--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -32,6 +32,9 @@
   /** When the last reading that succeeded ended. */
   private readAt: Instant = Number.NEGATIVE_INFINITY;
 
+  /** When the store last answered again after it did not; -Infinity if it always did. */
+  regainedAt: Instant = Number.NEGATIVE_INFINITY;
+
   private hinted: number | undefined;
 
   private isReachable = true;
@@ -100,9 +103,12 @@
       this.onFault({ kind: 'malformed', detail: 'a reading from before the last one' });
       return;
     }
-    if (!this.isReachable) this.telemetry.event('feed-regained', { feed: this.name });
-    this.isReachable = true;
     this.readAt = this.clock.now();
+    if (!this.isReachable) {
+      this.telemetry.event('feed-regained', { feed: this.name });
+      this.regainedAt = this.readAt;
+    }
+    this.isReachable = true;
     // Two reads may overlap; the one that got further counts.
     if (page.position >= this.furthest) this.position = page.position;
     this.furthest = Math.max(this.furthest, page.position);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,20 +1,8 @@
 import type { Server } from 'node:http';
 
 import { listen } from '../adapters/listen';
-import {
-  HostRoutes,
-  TargetDealer,
-  UpstreamList,
-  type UpstreamChange,
-  type UpstreamNews,
-} from '../core/gateway';
-import {
-  MILLIS_PER_SECOND,
-  type GatewaySettings,
-  type GatewayUpstream,
-  type Millis,
-  type ServiceName,
-} from '../model';
+import { HostRoutes, TargetDealer, type UpstreamChange } from '../core/gateway';
+import { MILLIS_PER_SECOND, type GatewaySettings, type Millis, type ServiceName } from '../model';
 import type { ConfigRecord, DirectoryCodec, Feed, FeedPage, ReadinessCodec } from '../ports';
 
 import { Call, type CallContext, type Reply } from './call';
@@ -23,6 +11,7 @@
 import { Follower } from './follower';
 import { Fleet } from './fleet';
 import type { CallerRequest } from './forwarding';
+import { Inventory } from './inventory';
 import { RequestLog } from './request-log';
 import { ServiceDesk } from './service-desk';
 import { createDirectoryServer, createMetricsServer, createReadinessServer } from './small-servers';
@@ -53,7 +42,7 @@
 export class Gateway {
   private readonly desks = new Map<ServiceName, ServiceDesk>();
 
-  private readonly upstreams = new UpstreamList();
+  private readonly inventory: Inventory;
 
   private readonly dealer = new TargetDealer();
 
@@ -97,6 +86,11 @@
       draw,
       (page) => this.onUpstreams(page),
     );
+    this.inventory = new Inventory(context, {
+      pool: this.pool,
+      desks: () => this.desks,
+      desk: (service) => this.desk(service),
+    });
     this.fleet = new Fleet(context, {
       heads: () => [this.configFollower.head, this.upstreamFollower.head],
       onHeads: ([config, upstreams]) => {
@@ -200,6 +194,7 @@
   private close(): void {
     this.configFollower.close();
     this.upstreamFollower.close();
+    this.inventory.close();
     [this.callers.server, this.metricsServer, ...this.servers.map(({ server }) => server)].forEach(
       (server) => {
         server.close();
@@ -266,38 +261,7 @@
   }
 
   private onUpstreams(page: FeedPage<UpstreamChange>): void {
-    const news = page.whole
-      ? this.upstreams.replace(page.items)
-      : page.items.flatMap((change) => this.applyUpstream(change));
-    if (page.whole) news.forEach((each) => this.onNews(each));
+    this.inventory.onPage(page, this.upstreamFollower.regainedAt);
     this.joinWhenReady();
   }
-
-  private applyUpstream(change: UpstreamChange): readonly UpstreamNews[] {
-    const before = change.kind === 'removed' ? this.upstreams.get(change.id) : undefined;
-    const news = this.upstreams.apply(change);
-    if (news) this.onNews(news, before);
-    return news ? [news] : [];
-  }
-
-  private onNews(news: UpstreamNews, before?: GatewayUpstream): void {
-    const { telemetry } = this.context;
-    if (news.kind === 'left') {
-      telemetry.event('upstream-left', { upstream: news.id });
-      this.desks.forEach((desk) => desk.remove(news.id));
-      if (before) this.pool.forget(before);
-      return;
-    }
-    const { upstream } = news;
-    telemetry.event(`upstream-${news.kind}`, {
-      upstream: upstream.id,
-      service: upstream.service,
-      state: upstream.state,
-      born: upstream.born,
-    });
-    this.desks.forEach((desk) => {
-      if (desk.name !== upstream.service) desk.remove(upstream.id);
-    });
-    this.desk(upstream.service).put(upstream);
-  }
 }
--- a/test/gateway/inventory.test.ts
+++ b/test/gateway/inventory.test.ts
@@ -79,6 +79,26 @@
     scene.store.mood = 'well';
   });
 
+  it('stay in use while their entries, lapsed during an outage of the store, come back', async () => {
+    const left = scene.count('upstream-left');
+    const regained = scene.count('feed-regained');
+    scene.store.mood = 'busy';
+    await scene.until(() => scene.telemetry.events.at(-1)?.name === 'feed-lost');
+    scene.upstreams.forEach(({ id }) => scene.store.put('keyed.servers', id));
+    scene.store.mood = 'well';
+    await scene.until(() => scene.count('feed-regained') > regained);
+    await scene.until(() => scene.count('upstream-lapsed') === 2);
+    expect((await served('lapsed', 8)).size > 0).toEqual(true);
+    scene.upstreams.forEach((upstream, i) =>
+      scene.register(upstream, { born: i === 0 ? 4 : 2, sequence: 50 }),
+    );
+    await new Promise((resolve) => {
+      setTimeout(resolve, 2500);
+    });
+    expect(scene.count('upstream-left')).toEqual(left);
+    expect((await served('back', 8)).size > 0).toEqual(true);
+  });
+
   it('are read anew after the store has dropped its history', async () => {
     const [first] = scene.upstreams;
     if (!first) throw new Error('an upstream is wanted');
