Start where the settings leave out bounds

Cause: the settings tell only the bounds of the contracts in force, and every bound was demanded, so a deployment without the contract on repeats, say, would have had no gateway that starts. Ruled out: leaving what a missing bound governs unbounded. Change: a missing bound takes the strictest figure known from the users' sites; one that is there and no number is refused by name as before.

--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -25,6 +25,17 @@
   readonly floorShare: number;
 }
 
+/** In force where the settings leave a bound out; the strictest figures of the users' sites. */
+export const DEFAULT_BOUNDS: GatewayBounds = {
+  departure: 2000,
+  stopGrace: 6000,
+  repeatRatio: 0.2,
+  repeatWindow: 10_000,
+  repeatBase: 0,
+  directoryTtl: 5000,
+  floorShare: 0.7,
+};
+
 /** A gateway's settings, checked. */
 export interface GatewaySettings {
   readonly node: string;
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -10,6 +10,7 @@
   directoryCodec,
   parseSettings,
 } from '../../platform';
+import { DEFAULT_BOUNDS } from '../../src/model';
 
 const SEED = 20261203;
 
@@ -221,6 +222,16 @@
     expect(settings.store).toEqual({ address: '10.200.1.7', port: 8642 });
   });
 
+  it('may leave out bounds of contracts that are not in force', () => {
+    const some = FILE.replace(/bounds = .*/, 'bounds = ["drainMs=2500"]');
+    expect(parseSettings('node.toml', some).unsafeCoerce().bounds).toEqual({
+      ...DEFAULT_BOUNDS,
+      departure: 2500,
+    });
+    const none = FILE.replace(/bounds = .*\n/, '');
+    expect(parseSettings('node.toml', none).unsafeCoerce().bounds).toEqual(DEFAULT_BOUNDS);
+  });
+
   const wrong: readonly (readonly [string, string, string])[] = [
     ['front = "10.1.0.15:8641"', 'front = "nowhere"', 'listen.front'],
     ['"drainMs=2000"', '"drainMs=soon"', 'bounds.drainMs'],
