Ask the store less often while it refuses

Ruled out: one reader for all (no promise may rest on a peer alone). Change: the pause doubles with each failed read up to a second; the store's return is still noticed within half of the two seconds that upstreams take to register again. feed-regained tells how many reads failed.

--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -11,13 +11,22 @@
 const LONGEST_WAIT: Millis = 15_000;
 /** Time allowed for one read beside the wait; the store answers in milliseconds. */
 const READ_TIME: Millis = 800;
-/** Pause after a read that failed. */
-const RETRY_AFTER: Millis = 250;
+/** Pause after the first read that failed; doubled with each further one. */
+const FIRST_RETRY: Millis = 250;
+/** The longest pause; half of the time in which news has to be known after the store's return. */
+const LONGEST_RETRY: Millis = 1000;
 /** Pause after something new, so that a run of changes costs few reads; a third of the users' bounds. */
 const GATHER: Millis = 700;
 /** Time for the own read to bring what a peer has already read. */
 const PEER_LEAD: Millis = GATHER + 200;
 
+/**
+ * Pause after so many reads in a row that failed. Load pattern: the store turns all gateways away,
+ * and each refusal costs as much as an answer.
+ */
+export const retryPause = (failures: number): Millis =>
+  Math.min(LONGEST_RETRY, FIRST_RETRY * 2 ** (failures - 1));
+
 /**
  * Follows a feed of the store by reads that wait there for something new. A read may hang on a
  * connection that has gone silent; peers make up for that, as they say how far they have read.
@@ -37,7 +46,8 @@
 
   private hinted: number | undefined;
 
-  private isReachable = true;
+  /** Reads in a row that failed. */
+  private failures = 0;
 
   private closed = false;
 
@@ -65,7 +75,7 @@
     while (!this.closed) {
       const before = this.furthest;
       await this.read(SHORTEST_WAIT + this.draw() * (LONGEST_WAIT - SHORTEST_WAIT));
-      if (!this.isReachable) await sleep(RETRY_AFTER);
+      if (this.failures > 0) await sleep(retryPause(this.failures));
       else if (this.furthest > before) await sleep(GATHER);
     }
   }
@@ -104,11 +114,11 @@
       return;
     }
     this.readAt = this.clock.now();
-    if (!this.isReachable) {
-      this.telemetry.event('feed-regained', { feed: this.name });
+    if (this.failures > 0) {
+      this.telemetry.event('feed-regained', { feed: this.name, failures: this.failures });
       this.regainedAt = this.readAt;
     }
-    this.isReachable = true;
+    this.failures = 0;
     // Two reads may overlap; the one that got further counts.
     if (page.position >= this.furthest) this.position = page.position;
     this.furthest = Math.max(this.furthest, page.position);
@@ -125,8 +135,8 @@
       case 'refused':
       case 'unreachable':
       case 'malformed':
-        if (!this.isReachable) return;
-        this.isReachable = false;
+        this.failures += 1;
+        if (this.failures > 1) return;
         this.telemetry.event('feed-lost', {
           feed: this.name,
           kind: fault.kind,
--- a/test/gateway/follower.test.ts
+++ b/test/gateway/follower.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, describe, it } from 'node:test';
 import { Left, Right, type Either } from 'purify-ts';
 
-import { Follower } from '../../src/gateway/follower';
+import { Follower, retryPause } from '../../src/gateway/follower';
 import type { Feed, FeedFault, FeedPage } from '../../src/ports';
 
 import { recordingTelemetry } from './harness';
@@ -114,6 +114,10 @@
     expect(events()).toEqual(['feed-history-lost', 'feed-lost', 'feed-regained']);
   });
 
+  it('asks less and less often while the store refuses', () => {
+    expect([1, 2, 3, 4, 50].map(retryPause)).toEqual([250, 500, 1000, 1000, 1000]);
+  });
+
   it('says once that the store is lost, and once that it is back', async () => {
     const { feed, events } = start();
     await feed.answer(0, Left({ kind: 'refused', status: 503 }));
