Count upstreams as used from when work was sent there

Owners told each other of attempts when these had ended, and the hearer noted that moment: up to 0.7 s late, so that 1.5 s since the last work meant up to 2.2 s. And 0.76 of all sound upstreams in use is not 0.7 of any half of them; the users count only those that meet no trouble. Change: a sighting tells how long ago its attempt began; the share covered is the floor and 0.15, not 0.06.

--- a/src/core/placement/service-book.ts
+++ b/src/core/placement/service-book.ts
@@ -30,6 +30,8 @@
   readonly id: UpstreamId;
   readonly born: number;
   readonly evidence: Evidence;
+  /** Milliseconds since the attempt began. */
+  readonly sentAgo: Millis;
 }
 
 /** How likely a node holds an upstream to be ill, to be told to others. */
@@ -158,10 +160,10 @@
   }
 
   /** Takes what another node saw. */
-  hear({ id, born, evidence }: Sighting, now: Instant): void {
+  hear({ id, born, evidence, sentAgo }: Sighting, now: Instant): void {
     const track = this.tracks.get(id);
     if (!track || track.upstream.born !== born) return;
-    track.lastSentAt = Math.max(track.lastSentAt, now);
+    track.lastSentAt = Math.max(track.lastSentAt, now - sentAgo);
     track.learn(evidence, now);
   }
 }
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -35,8 +35,8 @@
   readonly log: RequestLog;
   /** Nodes that share a service's fixed allowance of repeats; 0 if this one has no part in it. */
   readonly sharers: (service: string) => number;
-  /** Tells the other nodes what was seen of an upstream. */
-  readonly sighted: (desk: ServiceDesk, track: Track, evidence: Evidence) => void;
+  /** Tells the other nodes what was seen of an upstream in an attempt that began at `sentAt`. */
+  readonly sighted: (desk: ServiceDesk, track: Track, evidence: Evidence, sentAt: Instant) => void;
 }
 
 /** How an attempt ended, and the answer that may be passed on. */
@@ -235,7 +235,7 @@
     const illBefore = Number(illAt(track.belief, sentAt).toFixed(ILL_DECIMALS));
     const overdue = setTimeout(() => {
       track.learn('slow', clock.now());
-      this.context.sighted(this.desk, track, 'slow');
+      this.context.sighted(this.desk, track, 'slow', sentAt);
     }, this.desk.book.overdueAfter(this.route.name));
     const result = await pool.run(upstream, {
       requestId: this.request.id,
@@ -293,7 +293,7 @@
     const now = clock.now();
     const verdict = verdictOf(outcome, took / book.usualLatency(this.route.name));
     track.judge(verdict, now);
-    if (verdict.kind === 'evidence') sighted(this.desk, track, verdict.evidence);
+    if (verdict.kind === 'evidence') sighted(this.desk, track, verdict.evidence, now - took);
     if (outcome.kind === 'served' && result.kind === 'answered') {
       const { head, body } = result;
       const bytes = body.kind === 'whole' ? body.bytes.length : (head.length ?? 0);
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -147,8 +147,8 @@
   }
 
   /** Tells the owners of a service what was seen of one of its upstreams. */
-  sighted(service: ServiceName, track: Track, evidence: Evidence): void {
-    this.outbox.add(service, track, evidence);
+  sighted(service: ServiceName, track: Track, evidence: Evidence, sentAt: Instant): void {
+    this.outbox.add(service, track, evidence, sentAt);
   }
 
   /** The members or the routes have changed. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -124,7 +124,7 @@
       pool: this.pool,
       log: new RequestLog(clock, telemetry),
       sharers: (service) => this.fleet.sharersOf(service),
-      sighted: (desk, track, evidence) => this.fleet.sighted(desk.name, track, evidence),
+      sighted: (desk, ...sighting) => this.fleet.sighted(desk.name, ...sighting),
     };
   }
 
--- a/src/gateway/service-desk.ts
+++ b/src/gateway/service-desk.ts
@@ -8,8 +8,11 @@
 /** How often waiting requests are looked at beside the moments when a slot is freed. */
 const WAITING_PERIOD: Millis = 25;
 
-/** By how much the share of upstreams in use is kept over the floor. */
-const COVER_MARGIN = 0.06;
+/**
+ * By how much the share of upstreams in use is kept over the floor: the floor may be counted over
+ * some of the sound upstreams only, as where half of them meet trouble that this node can't see.
+ */
+const COVER_MARGIN = 0.15;
 
 /** Waiting requests that may fail to be placed before the rest is left for later. */
 const LOOKED_AT = 3;
--- a/src/gateway/sightings.ts
+++ b/src/gateway/sightings.ts
@@ -32,7 +32,12 @@
 ]);
 
 const isSighting = (value: unknown): value is Sighting =>
-  isShape(value) && isString(value.id) && isCount(value.born) && EVIDENCE.has(value.evidence);
+  isShape(value) &&
+  isString(value.id) &&
+  isCount(value.born) &&
+  EVIDENCE.has(value.evidence) &&
+  isFiniteNumber(value.sentAgo) &&
+  value.sentAgo >= 0;
 
 export const decodeSightings = (body: unknown): SightingsMessage | undefined => {
   if (!isShape(body) || !isString(body.service)) return undefined;
@@ -74,9 +79,14 @@
   return messages;
 };
 
+/** A sighting that has not been told, by when its attempt began. */
+interface Untold extends Omit<Sighting, 'sentAgo'> {
+  readonly sentAt: Instant;
+}
+
 /** Collects what this node sees and hands it on in few messages. */
 export class SightingOutbox {
-  private readonly untold = new Map<ServiceName, Sighting[]>();
+  private readonly untold = new Map<ServiceName, Untold[]>();
 
   private readonly toldGood = new WeakMap<Track, Instant>();
 
@@ -87,7 +97,8 @@
     private readonly send: (message: SightingsMessage) => void,
   ) {}
 
-  add(service: ServiceName, track: Track, evidence: Evidence): void {
+  /** `sentAt`: when the attempt began. */
+  add(service: ServiceName, track: Track, evidence: Evidence, sentAt: Instant): void {
     const now = this.clock.now();
     const isGood = evidence === 'good';
     if (isGood && now - (this.toldGood.get(track) ?? Number.NEGATIVE_INFINITY) < GOOD_PERIOD) {
@@ -96,7 +107,8 @@
     if (isGood) this.toldGood.set(track, now);
     else this.toldGood.delete(track);
     const sightings = this.untold.get(service) ?? [];
-    sightings.push({ id: track.upstream.id, born: track.upstream.born, evidence });
+    const { id, born } = track.upstream;
+    sightings.push({ id, born, evidence, sentAt });
     this.untold.set(service, sightings);
     if (!isGood || sightings.length >= MOST_IN_MESSAGE) this.flush();
     else this.timer ??= setTimeout(() => this.flush(), GOOD_PERIOD);
@@ -109,7 +121,14 @@
   private flush(): void {
     clearTimeout(this.timer);
     this.timer = undefined;
-    this.untold.forEach((sightings, service) => this.send({ service, sightings }));
+    const now = this.clock.now();
+    this.untold.forEach((untold, service) => {
+      const sightings = untold.map(({ sentAt, ...seen }) => ({
+        ...seen,
+        sentAgo: Math.max(0, Math.round(now - sentAt)),
+      }));
+      this.send({ service, sightings });
+    });
     this.untold.clear();
   }
 }
--- a/test/core/placement/choose.test.ts
+++ b/test/core/placement/choose.test.ts
@@ -173,6 +173,8 @@
     readonly failed: number;
     /** The least share of the sound upstreams that got work in any two seconds. */
     readonly covered: number;
+    /** Windows in which less than the floor's share of some half of them got work, of all. */
+    readonly underFloor: number;
   }
 
   const play = (seed: number, coverShare: number): Played => {
@@ -187,6 +189,7 @@
     let ends: { at: number; act: () => void }[] = [];
     let failed = 0;
     let covered = 1;
+    let underFloor = 0;
     const total = 70 * 60;
     for (let i = 0; i < total; i++) {
       const now = (i * 1000) / 70;
@@ -214,18 +217,46 @@
       // Sound again 2 s after a failure, and so for the whole of the last 2 s.
       const sound = book.all().filter((each) => now - each.failedAt >= 4000);
       const used = sound.filter((each) => now - each.lastSentAt < 2000);
+      const half = book.all().filter(() => draw() < 0.5);
+      const soundHalf = half.filter((each) => now - each.failedAt >= 2000);
+      const usedHalf = soundHalf.filter((each) => now - each.lastSentAt < 2000);
+      const isUnder = usedHalf.length > 0 && usedHalf.length < 0.7 * soundHalf.length;
+      if (now > 3000 && isUnder) underFloor += 1;
       if (now > 3000) covered = Math.min(covered, used.length / sound.length);
     }
-    return { failed: failed / total, covered };
+    return { failed: failed / total, covered, underFloor: underFloor / total };
   };
 
+  it('are known by when work was sent there, not by when this node heard of it', () => {
+    const book = new ServiceBook(
+      'shop',
+      'a',
+      () => 0.85,
+      () => 0,
+    );
+    const ids = ['u0', 'u1', 'u2', 'u3'];
+    ids.forEach((id) => book.put(upstream(id), 0));
+    const hear = (id: string, sentAgo: number): void =>
+      book.hear({ id, born: 1, evidence: 'good', sentAgo }, 5000);
+    ids.forEach((id) => hear(id, id === 'u2' ? 1200 : 0));
+    const placeAt = (now: number): readonly string[] =>
+      Array.from({ length: 5 }, () => {
+        const placed = book.place(request(), true, now);
+        return placed.kind === 'send' ? `${placed.why} ${placed.track.upstream.id}` : placed.kind;
+      });
+    expect(placeAt(5400).includes('cover u2')).toEqual(true);
+  });
+
   [1, 2, 3].forEach((seed) => {
     it(`cost at most two in a hundred, seed ${seed}`, () => {
       expect(play(seed, 0).failed <= 0.02).toEqual(true);
     });
 
     it(`leave the floor's share of the sound upstreams in use, seed ${seed}`, () => {
-      expect(play(seed, 0.76).covered >= 0.7).toEqual(true);
+      const { covered, underFloor } = play(seed, 0.85);
+      expect(covered >= 0.7).toEqual(true);
+      // Where trouble hides half of the upstreams, at most one window in twenty.
+      expect(underFloor <= 0.05).toEqual(true);
     });
   });
 
--- a/test/gateway/fleet.test.ts
+++ b/test/gateway/fleet.test.ts
@@ -93,8 +93,8 @@
     const [track] = second.desk.book.all();
     if (!track) throw new Error('the desk has an upstream');
     for (let i = 0; i < 6; i++) {
-      second.fleet.sighted(SERVICE, track, 'failed-late');
-      second.fleet.sighted(SERVICE, track, 'good');
+      second.fleet.sighted(SERVICE, track, 'failed-late', systemClock.now());
+      second.fleet.sighted(SERVICE, track, 'good', systemClock.now());
     }
     const heardAt = first.desk.book.all()[0]?.belief.at ?? 0;
     await until(() => (first.desk.book.all()[0]?.belief.at ?? 0) >= heardAt);
