Let load decide between upstreams that are as good as proven

Cause: on the grown site seat-confirm took 842 ms at the median, though its work takes 341 ms; up to 3 times the mean load met at one upstream. The least chance of failure won, that is the upstream that had answered last, and all owners of a service chose the same one; they learn of each other's requests under way only with an answer. Change: chances of failure under 0.08 count as that, a full upstream costs 0.1 rather than 0.01, chance 0.03 rather than 0.006.

--- a/src/core/placement/choose.ts
+++ b/src/core/placement/choose.ts
@@ -55,8 +55,11 @@
   otherDataCentreKb: 0.0025,
   /** The most that bytes from another data centre count; an ill upstream near by is worse. */
   otherDataCentreMost: 0.12,
-  /** An upstream with all slots taken; some slow down when they are nearly full. */
-  fullLoad: 0.01,
+  /**
+   * An upstream with all slots taken; others may be sending there at this moment, and some slow
+   * down when they are nearly full.
+   */
+  fullLoad: 0.1,
   /** A wait at the upstream as long as the time that is to spare: what a late answer loses. */
   late: 0.5,
   /** A failure of a request that can be repeated, in parts of one that can't. */
@@ -67,13 +70,18 @@
   cold: 0.05,
   /** Each request that is overdue there. */
   overdue: 0.25,
-  /** The most that chance adds, so that nodes without knowledge do not all choose the same. */
-  chance: 0.006,
+  /** The most that chance adds, so that nodes with the same knowledge do not all choose the same. */
+  chance: 0.03,
 } as const;
 
 const BYTES_PER_KB = 1024;
 /** A chance of failure up to which an upstream counts as proven. */
 export const PROVEN = 0.1;
+/**
+ * Lower chances count as this one: an upstream that has answered within the last three seconds is as
+ * good as one that has just answered, so that load decides between them.
+ */
+const LEAST_FAILURE = 0.08;
 /** A newcomer is given work when it has been known for this long and nobody has used it. */
 const NEWCOMER_AFTER: Millis = 600;
 /** An upstream counts as used for this long after a request; within the floor's window of 2 s. */
@@ -126,7 +134,7 @@
 ): number => {
   const { upstream } = track;
   const load = track.load(now, request.usualLatency);
-  const failure = failureChance(track.belief, now);
+  const failure = Math.max(LEAST_FAILURE, failureChance(track.belief, now));
   return (
     failure * (request.repeatable ? COST.repeatableFailure : 1) +
     waitCost(load, upstream.slots, request) +
