Group host names by their main service, and own them by capacity

Cause: on the grown site callers of one data centre waited twice as long as the others (median 1062 ms to 702 and 779 ms): two owners a data centre whatever their links and cores, one of them on a 7 Mbit/s link. And every host name had owners of its own though all lead to the same services: 11 to 20 gateways a service on the first sites, so that each saw little. Ruled out: owners as many as the demand of each host name (48 to 68 owners of a service, median of seat-confirm 959 ms). Change: host names with the same largest service share owners; these are drawn by rendezvous hashing weighted by what cores and link can carry, as many as carry an even part of what the slots can be asked for, two at least. Gateways tell their capacity with their membership.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -4,3 +4,4 @@
 export * from './repeat-allowance';
 export * from './attempt-outcome';
 export * from './lapse';
+export * from './host-groups';
--- a/src/core/gateway/owners.ts
+++ b/src/core/gateway/owners.ts
@@ -1,25 +1,54 @@
-import type { DataCentre, Member } from '../../model';
+import type { DataCentre, HostLimits, Member } from '../../model';
 import { hashOf, pairHash } from '../hash';
 
+/** Requests a second. */
+export type Rate = number;
+
+/** Gateways of one data centre that callers of a host name are sent to, at least; one may be lost. */
+const LEAST_OWNERS = 2;
+/** Processor time of one request in seconds, as measured on the users' bench. */
+const REQUEST_CORE_SECONDS = 0.0015;
+/** Megabits of one request and its answer, each way; from the mean answers of the users' sites. */
+const REQUEST_MEGABITS = 0.06;
+/** Part of a host that callers' requests may take; the rest is for bursts and the loss of others. */
+const PLANNED_USE = 0.5;
+
+const HASHES = 2 ** 32;
+
+/** Requests a second that a host can carry, a whole number. */
+export const capacityOf = ({ cores, megabitsPerSecond }: HostLimits): Rate | undefined => {
+  const rate = Math.min(cores / REQUEST_CORE_SECONDS, megabitsPerSecond / REQUEST_MEGABITS);
+  return Number.isFinite(rate) ? Math.max(1, Math.floor(PLANNED_USE * rate)) : undefined;
+};
+
 /**
- * The members that callers of a host name in one data centre are sent to: the strongest by
- * rendezvous hashing, so that all nodes name the same ones and few change when members do.
+ * The members that callers of a host group in one data centre are sent to: the strongest by
+ * rendezvous hashing, weighted by what each can carry, so that all nodes name the same ones and few
+ * change when members do. As many as carry the demand, where each gets an even part of it; on hosts
+ * that do not tell what they carry, two. Load pattern: small hosts with thin links among big ones,
+ * and one service that most callers ask for.
  */
 export const ownersOf = (
   members: readonly Member[],
   dataCentre: DataCentre,
-  host: string,
-  count: number,
+  group: string,
+  demand: Rate,
 ): readonly Member[] => {
-  const inDataCentre = members.filter(
-    (member) => member.dataCentre === dataCentre && member.state === 'alive',
-  );
   const alive = members.filter(({ state }) => state === 'alive');
-  const candidates = inDataCentre.length > 0 ? inDataCentre : alive;
-  const hostHash = hashOf(host);
-  return candidates
-    .map((member) => ({ member, weight: pairHash(hostHash, hashOf(member.address)) }))
-    .sort((a, b) => b.weight - a.weight || (a.member.address < b.member.address ? -1 : 1))
-    .slice(0, count)
+  const near = alive.filter((member) => member.dataCentre === dataCentre);
+  const groupHash = hashOf(group);
+  const ranked = (near.length > 0 ? near : alive)
+    .map((member) => {
+      const draw = (pairHash(groupHash, hashOf(member.address)) + 1) / (HASHES + 1);
+      return { member, rank: -Math.log(draw) / (member.capacity ?? 1) };
+    })
+    .sort((a, b) => a.rank - b.rank || (a.member.address < b.member.address ? -1 : 1))
     .map(({ member }) => member);
+  const isEnough = (count: number): boolean =>
+    ranked
+      .slice(0, count)
+      .every(({ capacity = Number.POSITIVE_INFINITY }) => demand / count <= capacity);
+  let count = LEAST_OWNERS;
+  while (count < ranked.length && !isEnough(count)) count += 1;
+  return ranked.slice(0, count);
 };
--- a/src/core/gateway/routes.ts
+++ b/src/core/gateway/routes.ts
@@ -13,15 +13,6 @@
     );
   }
 
-  /** The host names with routes to a service. */
-  hostsOf(service: ServiceName): readonly string[] {
-    return [...this.hosts]
-      .filter(([, routes]) =>
-        routes.some(({ targets }) => targets.some((target) => target.service === service)),
-      )
-      .map(([host]) => host);
-  }
-
   /** `host` may carry a port; `path` may carry a query. */
   find(host: string, path: string): GatewayRoute | undefined {
     const colon = host.lastIndexOf(':');
--- a/src/core/membership/messages.ts
+++ b/src/core/membership/messages.ts
@@ -103,6 +103,7 @@
   holds(value, {
     incarnation: isName,
     dataCentre: isName,
+    capacity: isAbsentOr(isCount),
     address: isName,
     callerPort: isPort,
     peerPort: isPort,
--- a/src/core/placement/service-book.ts
+++ b/src/core/placement/service-book.ts
@@ -72,6 +72,11 @@
     return this.list.length;
   }
 
+  /** Slots of all upstreams. */
+  get totalSlots(): number {
+    return this.list.reduce((sum, { upstream }) => sum + upstream.slots, 0);
+  }
+
   /** Slots that are expected to be of use: those of upstreams that take work and are well. */
   slots(now: Instant): number {
     return this.list.reduce(
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
-import { ownersOf } from '../core/gateway';
+import { capacityOf, ownersOf, type HostGroup, type HostGroups } from '../core/gateway';
 import { decodeMembershipMessage, Membership, type MembershipEvent } from '../core/membership';
 import type { Evidence, Track } from '../core/placement';
 import type { DataCentre, Incarnation, Instant, Member, Millis, ServiceName } from '../model';
@@ -22,13 +22,11 @@
 export interface FleetService {
   heads(): FeedHeads;
   onHeads(heads: FeedHeads): void;
-  /** The host names with routes to a service. */
-  hostsOf(service: ServiceName): readonly string[];
+  /** The host names that the same gateways own; undefined until a configuration is known. */
+  hostGroups(): HostGroups | undefined;
   desks(): ReadonlyMap<ServiceName, ServiceDesk>;
 }
 
-/** Gateways of one data centre that callers of a host name are sent to. */
-const OWNERS_NAMED = 2;
 /** How often the membership is told that time passes. */
 const MEMBERSHIP_TICK: Millis = 50;
 /** Time for a gateway that joins to hear of the others. */
@@ -49,6 +47,9 @@
 
   private members: readonly Member[] = [];
 
+  /** Of the members. */
+  private dataCentres: readonly DataCentre[] = [];
+
   /** Owners by service; emptied when the members or the routes change. */
   private readonly owners = new Map<ServiceName, readonly Member[]>();
 
@@ -74,6 +75,7 @@
       {
         incarnation: randomBytes(INCARNATION_BYTES).toString('hex'),
         dataCentre: settings.dataCentre,
+        capacity: capacityOf(settings.limits),
         address: settings.listen.callers.address,
         callerPort: settings.listen.callers.port,
         peerPort: settings.listen.peers.port,
@@ -131,7 +133,9 @@
     // Alone for a moment after its start, it would name itself to all who ask.
     const isAlone = this.members.length <= 1;
     if (isAlone && this.context.clock.now() < this.settledAt) return [];
-    return ownersOf(this.members, dataCentre, host, OWNERS_NAMED).map(
+    const group = this.service.hostGroups()?.ofHost(host.toLowerCase());
+    if (!group) return [];
+    return this.ownersOfGroup(dataCentre, group).map(
       ({ address, callerPort }) => `${address}:${callerPort}`,
     );
   }
@@ -151,7 +155,7 @@
     this.outbox.add(service, track, evidence, sentAt);
   }
 
-  /** The members or the routes have changed. */
+  /** The members, the routes or the upstreams have changed. */
   onOwnersChanged(): void {
     this.owners.clear();
     this.service.desks().forEach(({ name }) => {
@@ -183,17 +187,20 @@
   private ownersFor(service: ServiceName): readonly Member[] {
     const known = this.owners.get(service);
     if (known) return known;
-    const dataCentres = [...new Set(this.members.map(({ dataCentre }) => dataCentre))];
-    const named = this.service
-      .hostsOf(service)
-      .flatMap((host) =>
-        dataCentres.flatMap((dataCentre) => ownersOf(this.members, dataCentre, host, OWNERS_NAMED)),
-      );
+    const groups = this.service.hostGroups()?.ofService(service) ?? [];
+    const named = groups.flatMap((group) =>
+      this.dataCentres.flatMap((dataCentre) => this.ownersOfGroup(dataCentre, group)),
+    );
     const owners = [...new Set(named)];
     this.owners.set(service, owners);
     return owners;
   }
 
+  private ownersOfGroup(dataCentre: DataCentre, { name, demand }: HostGroup): readonly Member[] {
+    const part = demand / Math.max(1, this.dataCentres.length);
+    return ownersOf(this.members, dataCentre, name, part);
+  }
+
   /** The owners of a service other than this node. */
   private others(service: ServiceName): readonly Member[] {
     const self = this.context.settings.listen.callers.address;
@@ -252,6 +259,7 @@
           return;
         case 'changed':
           this.members = effect.members;
+          this.dataCentres = [...new Set(this.members.map(({ dataCentre }) => dataCentre))];
           this.onOwnersChanged();
       }
     });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,7 +1,7 @@
 import type { Server } from 'node:http';
 
 import { listen } from '../adapters/listen';
-import { HostRoutes, TargetDealer, type UpstreamChange } from '../core/gateway';
+import { HostGroups, HostRoutes, TargetDealer, type UpstreamChange } from '../core/gateway';
 import { MILLIS_PER_SECOND, type GatewaySettings, type Millis, type ServiceName } from '../model';
 import type { ConfigRecord, DirectoryCodec, Feed, FeedPage, ReadinessCodec } from '../ports';
 
@@ -67,6 +67,8 @@
 
   private routes: HostRoutes | undefined;
 
+  private hostGroups: HostGroups | undefined;
+
   private stopping = false;
 
   constructor(
@@ -97,7 +99,7 @@
         this.configFollower.hint(config);
         this.upstreamFollower.hint(upstreams);
       },
-      hostsOf: (service) => this.routes?.hostsOf(service) ?? [],
+      hostGroups: () => this.hostGroups,
       desks: () => this.desks,
     });
     this.callers = new CallerServer(context, {
@@ -248,7 +250,7 @@
           if (config.version <= inForce) return;
           this.routes = new HostRoutes(config);
           this.dealer.clear();
-          this.fleet.onOwnersChanged();
+          this.regroup();
           this.callers.applyLimits();
           this.context.telemetry.event('config-in-force', {
             version: config.version,
@@ -260,8 +262,17 @@
     });
   }
 
+  /** Finds out anew who owns what, as the routes or the upstreams have changed. */
+  private regroup(): void {
+    if (!this.routes) return;
+    const slotsOf = (service: ServiceName): number => this.desks.get(service)?.book.totalSlots ?? 0;
+    this.hostGroups = new HostGroups(this.routes.config, slotsOf);
+    this.fleet.onOwnersChanged();
+  }
+
   private onUpstreams(page: FeedPage<UpstreamChange>): void {
     this.inventory.onPage(page, this.upstreamFollower.regainedAt);
+    if (page.items.length > 0) this.regroup();
     this.joinWhenReady();
   }
 }
--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -36,6 +36,14 @@
   floorShare: 0.7,
 };
 
+/** What a gateway may use of its host. */
+export interface HostLimits {
+  /** Cores, as a fraction; Infinity if not told. */
+  readonly cores: number;
+  /** Of the host's link; Infinity if not told. */
+  readonly megabitsPerSecond: number;
+}
+
 /** A gateway's settings, checked. */
 export interface GatewaySettings {
   readonly node: string;
@@ -53,6 +61,7 @@
   readonly seeds: readonly string[];
   readonly store: Endpoint;
   readonly bounds: GatewayBounds;
+  readonly limits: HostLimits;
 }
 
 /** Whether a request may run more than once, and what its answer is like. */
--- a/src/model/member.ts
+++ b/src/model/member.ts
@@ -15,6 +15,8 @@
 export interface NodeIdentity extends NodeAddress {
   readonly incarnation: Incarnation;
   readonly dataCentre: DataCentre;
+  /** Requests a second that it can carry; absent where hosts are alike. */
+  readonly capacity?: number | undefined;
 }
 
 /** What a node holds of another: whether it may be given work. */
--- a/test/core/gateway/gateway.test.ts
+++ b/test/core/gateway/gateway.test.ts
@@ -3,6 +3,8 @@
 import { describe, it } from 'node:test';
 
 import {
+  capacityOf,
+  HostGroups,
   HostRoutes,
   lapsedUntil,
   nextStep,
@@ -232,24 +234,84 @@
   const members = Array.from({ length: 20 }, (_, n) => member(n));
 
   it('are the same for all who ask, in the caller’s data centre', () => {
-    const named = ownersOf(members, 'a', 'shop.example', 2);
+    const named = ownersOf(members, 'a', 'shop.example', 0);
     expect(named.length).toEqual(2);
     expect(named.every(({ dataCentre }) => dataCentre === 'a')).toEqual(true);
-    expect(ownersOf([...members].reverse(), 'a', 'shop.example', 2)).toEqual(named);
+    expect(ownersOf([...members].reverse(), 'a', 'shop.example', 0)).toEqual(named);
   });
 
   it('leave out suspects and change little when one goes', () => {
-    const [first, second] = ownersOf(members, 'a', 'shop.example', 2);
+    const [first, second] = ownersOf(members, 'a', 'shop.example', 0);
     const after = members.map((each) =>
       each.address === first?.address ? { ...each, state: 'suspect' as const } : each,
     );
-    const named = ownersOf(after, 'a', 'shop.example', 2);
+    const named = ownersOf(after, 'a', 'shop.example', 0);
     expect(named[0]).toEqual(second);
     expect(named.some(({ address }) => address === first?.address)).toEqual(false);
   });
 
   it('are elsewhere when a data centre has none', () => {
-    expect(ownersOf(members, 'c', 'shop.example', 2).length).toEqual(2);
-    expect(ownersOf([], 'a', 'shop.example', 2)).toEqual([]);
+    expect(ownersOf(members, 'c', 'shop.example', 0).length).toEqual(2);
+    expect(ownersOf([], 'a', 'shop.example', 0)).toEqual([]);
+  });
+
+  it('are as many as carry an even part each, on small hosts with thin links among big ones', () => {
+    const hosts = Array.from({ length: 44 }, (_, n) =>
+      member(2 * n, { capacity: n < 2 ? 270 : 54 }),
+    );
+    const demand = 210;
+    const byName = Array.from({ length: 200 }, (_, i) =>
+      ownersOf(hosts, 'a', `h${i}.example`, demand),
+    );
+    byName.forEach((named) => {
+      const part = demand / named.length;
+      expect(named.every(({ capacity = 0 }) => part <= capacity)).toEqual(true);
+      expect(named.length <= 4).toEqual(true);
+    });
+    const bigOnes = byName.flat().filter(({ capacity }) => capacity === 270).length;
+    // Two of 44 hosts have a fifth of the capacity.
+    expect(bigOnes / byName.flat().length > 0.1).toEqual(true);
+    expect(ownersOf(hosts, 'a', 'shop.example', 1).length).toEqual(2);
+  });
+
+  it('count for as much as their cores and links can carry', () => {
+    const none = { cores: Infinity, megabitsPerSecond: Infinity };
+    expect(capacityOf(none)).toEqual(undefined);
+    expect(capacityOf({ ...none, cores: 0.27 })).toEqual(90);
+    expect(capacityOf({ cores: 0.27, megabitsPerSecond: 7 })).toEqual(58);
+    expect(capacityOf({ cores: 0.0001, megabitsPerSecond: 7 })).toEqual(1);
+  });
+});
+
+describe('host names with routes to the same services', () => {
+  const SLOTS: Readonly<Record<string, number>> = { s: 100, t: 40, u: 10 };
+  const slotsOf = (service: string): number => SLOTS[service] ?? 0;
+  const to = (service: string, objective = 1000): GatewayRoute =>
+    route(`/${service}/`, { objective, targets: [{ service, weight: 1 }] });
+  const groups = new HostGroups(
+    {
+      ...config([]),
+      hosts: new Map([
+        ['a.example', [to('t'), to('s'), to('s', 2000), to('u')]],
+        ['b.example', [to('s'), to('t', 500)]],
+        ['c.example', [to('u')]],
+      ]),
+    },
+    slotsOf,
+  );
+
+  it('share their owners, by the largest of them', () => {
+    expect(groups.ofHost('a.example').name).toEqual('s');
+    expect(groups.ofHost('b.example').name).toEqual('s');
+    expect(groups.ofHost('c.example').name).toEqual('u');
+    expect(groups.ofHost('other.example')).toEqual({ name: 'other.example', demand: 0 });
+    expect(groups.ofService('t').map(({ name }) => name)).toEqual(['s']);
+    expect(groups.ofService('u').map(({ name }) => name)).toEqual(['s', 'u']);
+    expect(groups.ofService('none')).toEqual([]);
+  });
+
+  it('ask for what the slots can serve within the shortest objective, each service once', () => {
+    expect(groups.ofHost('a.example').demand).toEqual(1.5 * (100 + 80 + 5));
+    expect(groups.ofHost('c.example').demand).toEqual(1.5 * 5);
   });
 });
--- a/test/gateway/fleet.test.ts
+++ b/test/gateway/fleet.test.ts
@@ -1,16 +1,21 @@
 import { expect } from 'earl';
 import { after, describe, it } from 'node:test';
 
-import { dialect, parseSettings } from '../../platform';
+import { decodeConfig, dialect, parseSettings } from '../../platform';
 import { systemClock } from '../../src/adapters';
+import { HostGroups } from '../../src/core/gateway';
 import { Fleet } from '../../src/gateway/fleet';
 import { ServiceDesk } from '../../src/gateway/service-desk';
 import type { GatewayUpstream } from '../../src/model';
 
-import { freePorts, recordingTelemetry, settingsText } from './harness';
+import { configOf, freePorts, recordingTelemetry, routeOf, settingsText } from './harness';
 
 const SERVICE = 'shop';
 
+const config = decodeConfig(
+  Buffer.from(JSON.stringify(configOf(1, [routeOf('/read/', 'safe')]))),
+).unsafeCoerce();
+
 const upstream: GatewayUpstream = {
   id: 'i-1',
   service: SERVICE,
@@ -44,7 +49,7 @@
   const fleet = new Fleet(context, {
     heads: () => [3, 4],
     onHeads: (told) => heads.push(told),
-    hostsOf: () => ['shop.example'],
+    hostGroups: () => new HostGroups(config, () => 0),
     desks: () => desks,
   });
   const desk = new ServiceDesk(SERVICE, context, () => fleet.isOwnerOf(SERVICE));
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -210,6 +210,10 @@
     'front = "10.1.0.15:8641"',
     'readiness = "10.1.0.15:8640"',
     'directory = "10.1.0.15:8644"',
+    '[limits]',
+    'cpuShare = 0.675',
+    'cpuCores = 2',
+    'linkMbps = 7.5',
     '[platform]',
     'address = "10.200.1.7:8642"',
   ].join('\n');
@@ -220,6 +224,7 @@
     expect(settings.seeds).toEqual(['10.1.0.15']);
     expect(settings.bounds.stopGrace).toEqual(6000);
     expect(settings.store).toEqual({ address: '10.200.1.7', port: 8642 });
+    expect(settings.limits).toEqual({ cores: 1.35, megabitsPerSecond: 7.5 });
   });
 
   it('may leave out bounds of contracts that are not in force', () => {
@@ -237,6 +242,7 @@
     ['"drainMs=2000"', '"drainMs=soon"', 'bounds.drainMs'],
     ['portRange = [7620, 7635]', 'portRange = [7620]', 'portRange'],
     ['zone = "a"', 'zone = 7', 'zone'],
+    ['linkMbps = 7.5', 'linkMbps = 0', 'limits.linkMbps'],
     ['seeds = ["10.1.0.15:8649"]', 'seeds = "x"', 'seeds'],
     ['nodeName = "edge-1"', 'nodeName = ', ''],
   ];
