Learn how long idle connections can be trusted

Cause: the grown sites' upstreams may drop idle connections without notice and sooner than they say; what is sent there next is reset, and a request that can't be repeated is lost. Connections were trusted for two seconds whatever happened (stand-in that drops after 120 ms: every other such request lost). Change: a reset on a connection that had been idle for 100 ms or more shrinks the trust in all to half of that time, for 8 s; and it says little of the upstream itself.

--- a/src/core/gateway/attempt-outcome.ts
+++ b/src/core/gateway/attempt-outcome.ts
@@ -49,17 +49,28 @@
   }
 };
 
+/** Why of an attempt that was reset on a connection that the upstream may have dropped before. */
+export const STALE_CONNECTION = 'stale-connection';
+
 /** A failure within this part of the usual latency comes before the work can have been done. */
 const EARLY = 0.25;
 
+const failureAt = (ratio: number): Verdict => ({
+  kind: 'evidence',
+  evidence: ratio <= EARLY ? 'failed-early' : 'failed-late',
+});
+
 /** What an attempt says of its upstream. `ratio`: what it took, in parts of the usual latency. */
 export const verdictOf = (outcome: AttemptOutcome, ratio: number): Verdict => {
   switch (outcome.kind) {
     case 'served':
       return { kind: 'evidence', evidence: 'good' };
-    case 'failed':
     case 'unknown':
-      return { kind: 'evidence', evidence: ratio <= EARLY ? 'failed-early' : 'failed-late' };
+      // Says little of the upstream, though it comes early.
+      if (outcome.why === STALE_CONNECTION) return { kind: 'evidence', evidence: 'failed-late' };
+      return failureAt(ratio);
+    case 'failed':
+      return failureAt(ratio);
     case 'not-run':
       return { kind: outcome.why === 'shed' ? 'busy' : 'unreachable' };
     case 'cancelled':
--- /dev/null
+++ b/src/core/gateway/idle-trust.ts
@@ -0,0 +1,36 @@
+import type { Instant, Millis } from '../../model';
+
+/** A request that can't be repeated takes a connection only if it was used this recently. */
+const FRESH_FOR: Millis = 2000;
+/** After a reset, connections are trusted for this part of the time that the reset one was idle. */
+const TRUSTED_PART = 0.5;
+/** Time after a reset in which the trust grows back; such trouble lasts some seconds. */
+const MEMORY: Millis = 8000;
+
+/**
+ * For how long an idle connection may carry another request. Load pattern: upstreams drop idle
+ * connections without a word and sooner than they say, and reset what is sent there next, so that
+ * each request that can't be repeated and takes one of them is lost.
+ */
+export class IdleTrust {
+  /** The shortest trust that a reset left, and when. */
+  private learnt: { readonly idle: Millis; readonly at: Instant } | undefined;
+
+  /** Takes that a request was reset on a connection that had been idle for so long. */
+  resetAfter(idle: Millis, now: Instant): void {
+    const trusted = TRUSTED_PART * idle;
+    const known = this.learntAt(now);
+    this.learnt = { idle: known === undefined ? trusted : Math.min(known, trusted), at: now };
+  }
+
+  /** The longest that a connection may have been idle. */
+  limit(repeatable: boolean, now: Instant): Millis {
+    const usual = repeatable ? Number.POSITIVE_INFINITY : FRESH_FOR;
+    return Math.min(usual, this.learntAt(now) ?? usual);
+  }
+
+  private learntAt(now: Instant): Millis | undefined {
+    if (!this.learnt || now - this.learnt.at >= MEMORY) return undefined;
+    return this.learnt.idle;
+  }
+}
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -5,3 +5,4 @@
 export * from './attempt-outcome';
 export * from './lapse';
 export * from './host-groups';
+export * from './idle-trust';
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -1,10 +1,11 @@
 /** How requests go out to upstreams, and what their answers come to. */
-import type { AttemptOutcome } from '../core/gateway';
+import { STALE_CONNECTION, type AttemptOutcome } from '../core/gateway';
 import type { Instant, Millis, UpstreamId } from '../model';
 import type { Dialect } from '../ports';
 
 import { headerOf } from './answer-parser';
 import type { ExchangeResult } from './upstream-connection';
+import { isStaleReset } from './upstream-pool';
 
 /** A caller's request, read whole. */
 export interface CallerRequest {
@@ -45,6 +46,7 @@
 ): AttemptOutcome => {
   if (result.kind === 'failed') {
     if (result.why === 'cancelled') return { kind: 'cancelled' };
+    if (isStaleReset(result)) return { kind: 'unknown', why: STALE_CONNECTION };
     return result.sent
       ? { kind: 'unknown', why: result.why }
       : { kind: 'not-run', why: 'unreachable' };
--- a/src/gateway/upstream-connection.ts
+++ b/src/gateway/upstream-connection.ts
@@ -24,8 +24,14 @@
 /** How an exchange ended. */
 export type ExchangeResult =
   | { readonly kind: 'answered'; readonly head: AnswerHead; readonly body: AnswerBody }
-  /** `sent`: bytes of the request may have reached the upstream. */
-  | { readonly kind: 'failed'; readonly why: ExchangeFault; readonly sent: boolean };
+  | {
+      readonly kind: 'failed';
+      readonly why: ExchangeFault;
+      /** Bytes of the request may have reached the upstream. */
+      readonly sent: boolean;
+      /** How long the connection had been idle; 0 if it was new. */
+      readonly idleFor: Millis;
+    };
 
 /** One request to an upstream. */
 export interface Exchange {
@@ -71,6 +77,9 @@
   /** When it became idle. */
   idleSince: Instant = 0;
 
+  /** How long it was idle before the request that it carries; 0 if it is new. */
+  private idleFor: Millis = 0;
+
   /** Until when it may be used again. */
   usableUntil: Instant = 0;
 
@@ -115,6 +124,7 @@
 
   /** Sends one request and resolves with its answer; the connection must be new or idle. */
   run(exchange: Exchange, connectBy: Instant): Promise<ExchangeResult> {
+    this.idleFor = this.connected ? this.clock.now() - this.idleSince : 0;
     return new Promise((resolve) => {
       const giveUp = (why: 'timeout' | 'cancelled' | 'connect-timeout'): void => {
         this.fail(why);
@@ -255,6 +265,7 @@
       kind: 'failed',
       why: why === 'reset' && running.head ? 'truncated' : why,
       sent: this.connected,
+      idleFor: this.idleFor,
     });
   }
 }
--- a/src/gateway/upstream-pool.ts
+++ b/src/gateway/upstream-pool.ts
@@ -1,3 +1,4 @@
+import { IdleTrust } from '../core/gateway';
 import type { Endpoint, GatewayUpstream, Instant, Millis } from '../model';
 import type { Clock } from '../ports';
 
@@ -5,8 +6,8 @@
 
 /** Time to connect; within a region a healthy upstream takes a millisecond. */
 const CONNECT_TIME: Millis = 200;
-/** A request that can't be repeated takes a connection only if it was used this recently. */
-const FRESH_FOR: Millis = 2000;
+/** A reset on a connection that was idle for less is the upstream's failure, not its time-out. */
+const LEAST_STALE: Millis = 100;
 /** Idle connections kept to one upstream. */
 const MOST_IDLE = 8;
 
@@ -15,6 +16,10 @@
   readonly idempotent: boolean;
 }
 
+/** Whether a request was reset on a connection that the upstream may have dropped before. */
+export const isStaleReset = (result: ExchangeResult): boolean =>
+  result.kind === 'failed' && result.why === 'reset' && result.idleFor >= LEAST_STALE;
+
 const keyOf = ({ id, born, endpoint }: GatewayUpstream): string =>
   `${id} ${born} ${endpoint.address}:${endpoint.port}`;
 
@@ -24,6 +29,8 @@
 
   private readonly open = new Set<UpstreamConnection>();
 
+  private readonly trust = new IdleTrust();
+
   /** New connections so far. */
   connects = 0;
 
@@ -32,12 +39,17 @@
     private readonly clock: Clock,
   ) {}
 
-  run(upstream: GatewayUpstream, exchange: PooledExchange): Promise<ExchangeResult> {
+  async run(upstream: GatewayUpstream, exchange: PooledExchange): Promise<ExchangeResult> {
     const now = this.clock.now();
     const key = keyOf(upstream);
     const connection = this.takeIdle(key, exchange.idempotent, now);
     const connectBy: Instant = Math.min(now + CONNECT_TIME, exchange.deadline);
-    return (connection ?? this.connect(key, upstream.endpoint)).run(exchange, connectBy);
+    const used = connection ?? this.connect(key, upstream.endpoint);
+    const result = await used.run(exchange, connectBy);
+    if (result.kind === 'failed' && isStaleReset(result)) {
+      this.trust.resetAfter(result.idleFor, this.clock.now());
+    }
+    return result;
   }
 
   /** Closes the connections of an upstream that has left; those in use end with their request. */
@@ -81,7 +93,7 @@
     for (;;) {
       const connection = list.pop();
       if (!connection) return undefined;
-      const isFresh = idempotent || now - connection.idleSince < FRESH_FOR;
+      const isFresh = now - connection.idleSince < this.trust.limit(idempotent, now);
       if (connection.isOpen && now < connection.usableUntil && isFresh) return connection;
       connection.close();
     }
--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -17,7 +17,9 @@
   | 'unframed'
   | 'not-http'
   | 'unsigned'
-  | 'wrong-chunk';
+  | 'wrong-chunk'
+  /** Resets whatever comes on a connection that has been idle for `DROPPED_AFTER`. */
+  | 'drops-idle';
 
 /** A request as the upstream read it. */
 export interface SeenRequest {
@@ -39,6 +41,9 @@
   readonly cancelled: string[];
 }
 
+/** Milliseconds. */
+const DROPPED_AFTER = 120;
+
 const HEADER_END = '\r\n\r\n';
 
 const headerOf = (head: string, name: string): string =>
@@ -87,7 +92,14 @@
     socket.on('error', () => {});
     socket.on('close', () => this.sockets.delete(socket));
     let text = '';
+    let lastAt = Number.POSITIVE_INFINITY;
     socket.on('data', (chunk) => {
+      const idleFor = Date.now() - lastAt;
+      lastAt = Date.now();
+      if (this.mood === 'drops-idle' && idleFor > DROPPED_AFTER) {
+        socket.resetAndDestroy();
+        return;
+      }
       text += chunk.toString('latin1');
       const headEnd = text.indexOf(HEADER_END);
       if (headEnd < 0) return;
@@ -112,6 +124,7 @@
     switch (this.mood) {
       case 'well':
       case 'sheds':
+      case 'drops-idle':
         socket.write(whole);
         return;
       case 'fails':
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -52,6 +52,20 @@
     });
   });
 
+  it('are missed once where idle connections are dropped, and then on new ones no more', async () => {
+    scene.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'drops-idle' }));
+    const statuses: number[] = [];
+    for (let i = 0; i < 8; i++) {
+      const id = `dropped-${i}`;
+      const seen = await scene.request(id, `${UNSAFE}x`, { method: 'POST', body: 'b' });
+      statuses.push(seen.status);
+      await new Promise((resolve) => {
+        setTimeout(resolve, 200);
+      });
+    }
+    expect(statuses.filter((status) => status !== 200).length <= 1).toEqual(true);
+  });
+
   it('that end with their connection are passed on with no length of ours', async () => {
     scene.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'unframed' }));
     for (const [id, path, method] of [
