Name the constant of the fleet's test apart

Cause: the linter refused a name that is declared again further down. Ruled out: nothing. Change: the name.

--- a/test/gateway/fleet.test.ts
+++ b/test/gateway/fleet.test.ts
@@ -12,7 +12,7 @@
 
 const SERVICE = 'shop';
 
-const config = decodeConfig(
+const CONFIG = decodeConfig(
   Buffer.from(JSON.stringify(configOf(1, [routeOf('/read/', 'safe')]))),
 ).unsafeCoerce();
 
@@ -49,7 +49,7 @@
   const fleet = new Fleet(context, {
     heads: () => [3, 4],
     onHeads: (told) => heads.push(told),
-    hostGroups: () => new HostGroups(config, () => 0),
+    hostGroups: () => new HostGroups(CONFIG, () => 0),
     desks: () => desks,
   });
   const desk = new ServiceDesk(SERVICE, context, () => fleet.isOwnerOf(SERVICE));
