Test long answers, early answers and the loser of two attempts

Cause: three paths had no test: answers over 2 MB that are passed on as they come, answers that come before a long body was read, and the long answer of an attempt that lost to another. Ruled out: a fault; all three held at once. Change: three moods of the upstream's stand-in and a test of each.

--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -19,7 +19,12 @@
   | 'unsigned'
   | 'wrong-chunk'
   /** Resets whatever comes on a connection that has been idle for `DROPPED_AFTER`. */
-  | 'drops-idle';
+  | 'drops-idle'
+  /** A body of `LARGE`, whole or broken off half-way. */
+  | 'large'
+  | 'large-cut'
+  /** Rejects a request with a body before it has read it, and reads on. */
+  | 'early';
 
 /** A request as the upstream read it. */
 export interface SeenRequest {
@@ -27,6 +32,8 @@
   readonly head: string;
   readonly body: string;
   readonly connection: number;
+  /** Unix milliseconds. */
+  readonly at: number;
 }
 
 /** A running upstream and its controls. */
@@ -41,6 +48,8 @@
   readonly cancelled: string[];
 }
 
+/** Bytes; more than a gateway holds. */
+export const LARGE = 3 * 2 ** 20;
 /** Milliseconds. */
 const DROPPED_AFTER = 120;
 
@@ -92,6 +101,7 @@
     socket.on('error', () => {});
     socket.on('close', () => this.sockets.delete(socket));
     let text = '';
+    let isAnswered = false;
     let lastAt = Number.POSITIVE_INFINITY;
     socket.on('data', (chunk) => {
       const idleFor = Date.now() - lastAt;
@@ -106,14 +116,24 @@
       const head = text.slice(0, headEnd);
       const length = Number(headerOf(head, 'content-length') || 0);
       const bodyStart = headEnd + HEADER_END.length;
+      const id = headerOf(head, 'X-Redwingmount-Request-Id');
+      if (this.mood === 'early' && length > 0 && !isAnswered) {
+        isAnswered = true;
+        this.runs.push({ id, head, body: '', connection, at: Date.now() });
+        socket.write(answer(id, `${this.id} ${id}`).replace('200 OK', '400 Bad Request'));
+      }
       if (text.length < bodyStart + length) return;
       const body = text.slice(bodyStart, bodyStart + length);
       text = text.slice(bodyStart + length);
+      const wasAnswered = isAnswered;
+      isAnswered = false;
+      if (wasAnswered) return;
       this.serve(socket, {
-        id: headerOf(head, 'X-Redwingmount-Request-Id'),
+        id,
         head,
         body,
         connection,
+        at: Date.now(),
       });
     });
   }
@@ -125,6 +145,7 @@
       case 'well':
       case 'sheds':
       case 'drops-idle':
+      case 'early':
         socket.write(whole);
         return;
       case 'fails':
@@ -151,6 +172,12 @@
       case 'unframed':
         socket.end(whole.replace(/Content-Length.*\r\n/, ''));
         return;
+      case 'large':
+        socket.write(answer(seen.id, 'x'.repeat(LARGE - body.length) + body));
+        return;
+      case 'large-cut':
+        socket.end(answer(seen.id, 'x'.repeat(LARGE)).slice(0, LARGE / 2));
+        return;
       case 'not-http':
         socket.write('SSH-2.0-wrong\r\n\r\n');
         return;
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl';
 import { after, before, beforeEach, describe, it } from 'node:test';
 
-import type { UpstreamMood } from '../../standins/platform';
+import { LARGE, type UpstreamMood } from '../../standins/platform';
 
 import { routeOf, Scene } from './harness';
 
@@ -92,6 +92,45 @@
     }
   });
 
+  it('are passed on whole when they are too long to be held, and broken off if they were', async () => {
+    scene.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'large' }));
+    const whole = await scene.request('large', `${UNSAFE}x`, { method: 'POST', body: 'b' });
+    expect([whole.status, whole.body.length, whole.broken]).toEqual([200, LARGE, false]);
+    expect(whole.body.endsWith(' large')).toEqual(true);
+    scene.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'large-cut' }));
+    const cut = await scene.request('large-cut', `${UNSAFE}x`, { method: 'POST', body: 'b' });
+    expect(cut.broken).toEqual(true);
+    expect(scene.runsOf('large-cut')).toEqual(1);
+  });
+
+  it('that come before a long body was read go to their request, and the rest of it nowhere', async () => {
+    scene.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'early' }));
+    for (let i = 0; i < 4; i++) {
+      const id = `early-${i}`;
+      const body = 'b'.repeat(60_000);
+      const seen = await scene.request(id, `${UNSAFE}x`, { method: 'POST', body });
+      expect([seen.status, seen.body.endsWith(` ${id}`)]).toEqual([400, true]);
+    }
+    scene.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'well' }));
+    const next = await scene.request('after-early', `${UNSAFE}x`, { method: 'POST', body: 'b' });
+    expect([next.status, next.body.endsWith(' after-early')]).toEqual([200, true]);
+    const ids = scene.upstreams.flatMap(({ runs }) => runs.map(({ id }) => id));
+    expect(ids.filter((id) => id.startsWith('early-')).length).toEqual(4);
+    expect(ids.includes('')).toEqual(false);
+  });
+
+  it('of an attempt that lost to another are let go of, though they are long', async () => {
+    const [first, second] = scene.upstreams;
+    if (!first || !second) throw new Error('two upstreams are wanted');
+    Object.assign(first, { mood: 'large', work: 1200 });
+    Object.assign(second, { mood: 'large', work: 1200 });
+    const seen = await scene.request('both', `${SAFE}x`);
+    expect([seen.status, seen.body.length]).toEqual([200, LARGE]);
+    scene.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'well', work: 5 }));
+    const next = await Promise.all([1, 2, 3, 4].map((n) => scene.request(`n-${n}`, `${SAFE}x`)));
+    expect(next.every(({ status }) => status === 200)).toEqual(true);
+  });
+
   it('pass a failure on as the upstream gave it', async () => {
     scene.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'fails' }));
     const seen = await scene.request('fails', `${UNSAFE}x`, { method: 'POST', body: 'b' });
