Play gateway processes under faults from outside

Ruled out: the soaks in virtual time (they know nothing of gateways). Change: npm run soak:faults: four gateway processes, a store behind a proxy each, five upstreams behind proxies; drawn faults in series that overlap; checks from what callers and upstreams see. A signal to a process that has ended no longer ends the tests.

--- /dev/null
+++ b/scripts/fault-soak.ts
@@ -0,0 +1,31 @@
+// Plays real gateway processes under faults from outside, seed after seed:
+//   npm run soak:faults -- [--seed N] [--seeds COUNT] [--seconds S] [--timed]
+import cac from 'cac';
+
+import { FaultWorld } from '../test/soak/gateways/world';
+
+const cli = cac('fault-soak');
+cli.option('--seed <n>', 'the first seed', { default: 1 });
+cli.option('--seeds <count>', 'how many seeds', { default: 1 });
+cli.option('--seconds <s>', 'how long each lasts', { default: 20 });
+cli.option('--timed', 'also check the promises with a bound in time');
+cli.help();
+const { options } = cli.parse();
+if (!options.help) {
+  let failures = 0;
+  const { seed: first, seeds, seconds } = options;
+  for (let seed = first; seed < first + seeds; seed++) {
+    const { breaches, requests, served, schedule } = await FaultWorld.play(
+      seed,
+      seconds * 1000,
+      options.timed === true,
+    );
+    const share = (served / Math.max(1, requests)).toFixed(3);
+    console.log(
+      `seed ${seed}: ${schedule.length} faults, ${requests} requests, ${share} served, ${breaches.length} breaches`,
+    );
+    breaches.slice(0, 5).forEach(({ promise, detail }) => console.log(`  ${promise}: ${detail}`));
+    if (breaches.length > 0) failures += 1;
+  }
+  process.exitCode = failures > 0 ? 1 : 0;
+}
--- a/test/process/managed-process.ts
+++ b/test/process/managed-process.ts
@@ -83,11 +83,16 @@
 
   /** Stops the process in its tracks, as a long pause of the host would. */
   freeze(): void {
-    process.kill(this.pid, 'SIGSTOP');
+    this.child.kill('SIGSTOP');
   }
 
   thaw(): void {
-    process.kill(this.pid, 'SIGCONT');
+    this.child.kill('SIGCONT');
+  }
+
+  /** Tells it that its settings have changed. */
+  reload(): void {
+    this.child.kill('SIGHUP');
   }
 
   /** Ends it at once, frozen or not. */
