Name the upstream whose answer it was when attempts overlap

Attempts' numbers were taken at their end, so both were number 2. Ruled out: a wrong order of the lines. Change: the cause goes by the attempt with the answer's status and names those that gave none; attempts are numbered at their start; a request with no line is told to have reached no node, or one that died.

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -40,7 +40,12 @@
 const causeOf = (request: LogLine | undefined, attempts: readonly LogLine[]): string => {
   if (!request) return 'the request ended in no log given here: its node died or was cut off';
   const { outcome, why, status, upstream } = request.fields;
-  const last = attempts.at(-1)?.fields;
+  // An attempt that hangs may end after the one whose answer was passed on.
+  const answered = attempts.findLast(({ fields }) => fields.status === status);
+  const last = (outcome === 'answer' ? answered : attempts.at(-1))?.fields;
+  const others = attempts
+    .filter(({ fields }) => fields !== last && fields.outcome === 'unknown')
+    .map(({ fields }) => `; upstream ${String(fields.upstream)} gave none (${String(fields.why)})`);
   const runs = attempts.filter(({ fields }) =>
     ['failed', 'unknown'].includes(String(fields.outcome)),
   ).length;
@@ -52,7 +57,7 @@
       return `${at} gave no usable answer (${String(why)}); it ran or may have run ${runs} time(s)`;
     case 'answer':
       return isFiniteNumber(status) && status >= 500
-        ? `${at} answered ${status} after ${String(last?.tookMs)} ms, and it was not repeated further`
+        ? `${at} answered ${status} after ${String(last?.tookMs)} ms, and it was not repeated further${others.join('')}`
         : `it was answered ${String(status)} by upstream ${String(upstream)}`;
     case 'nobody':
       return 'the caller left before the answer';
@@ -68,7 +73,11 @@
 export const explain = (lines: readonly LogLine[], requestId: string): readonly string[] => {
   const own = lines.filter(({ fields }) => fields.request === requestId);
   const [first] = own;
-  if (!first) return [`no line names request ${requestId}`];
+  if (!first) {
+    return [
+      `no line names request ${requestId}: it reached none of these nodes, or its node died before its end`,
+    ];
+  }
   const upstreams = new Set(own.map(({ fields }) => fields.upstream).filter(isString));
   const sources = new Set(own.map(({ source }) => source));
   const beliefs = lines.filter(
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -232,6 +232,7 @@
     this.tried.add(upstream.id);
     this.lastUpstream = upstream.id;
     this.sends += 1;
+    const number = this.sends;
     const illBefore = Number(illAt(track.belief, sentAt).toFixed(ILL_DECIMALS));
     const overdue = setTimeout(() => {
       track.learn('slow', clock.now());
@@ -264,7 +265,7 @@
       service: this.desk.name,
       upstream: upstream.id,
       placed: why,
-      number: this.sends,
+      number,
       outcome: outcome.kind,
       ...('why' in outcome ? { why: outcome.why } : {}),
       ...('status' in outcome ? { status: outcome.status } : {}),
--- a/test/cli/explain.test.ts
+++ b/test/cli/explain.test.ts
@@ -50,6 +50,37 @@
   }),
 ];
 
+const HEDGED = [
+  line('n3', {
+    time: 5000,
+    event: 'attempt',
+    request: 'd',
+    upstream: 'i-4',
+    number: 2,
+    outcome: 'failed',
+    status: 500,
+    tookMs: 1038,
+  }),
+  line('n3', {
+    time: 6000,
+    event: 'attempt',
+    request: 'd',
+    upstream: 'i-3',
+    number: 1,
+    outcome: 'unknown',
+    why: 'timeout',
+    tookMs: 3976,
+  }),
+  line('n3', {
+    time: 6000,
+    event: 'request',
+    request: 'd',
+    outcome: 'answer',
+    status: 500,
+    upstream: 'i-4',
+  }),
+];
+
 const causeOf = (id: string): string => explain(LINES, id).at(-1) ?? '';
 
 describe('explain', () => {
@@ -69,7 +100,9 @@
     expect(causeOf('c').includes('upstream i-2 gave no usable answer (timeout)')).toEqual(true);
     const cut = LINES.filter(({ event }) => event !== 'request');
     expect(explain(cut, 'c').at(-1)?.includes('its node died or was cut off')).toEqual(true);
-    expect(causeOf('nobody')).toEqual('no line names request nobody');
+    expect(causeOf('nobody')).toEqual(
+      'no line names request nobody: it reached none of these nodes, or its node died before its end',
+    );
   });
 
   it('skips what is no line of a gateway', () => {
@@ -77,4 +110,10 @@
     expect(parseLogLine('{"time":"x"}', 'n')).toEqual(undefined);
     expect(parseLogLine('{broken', 'n')).toEqual(undefined);
   });
+
+  it('names the upstream whose answer it was, though another attempt ended later', () => {
+    expect(explain(HEDGED, 'd').at(-1)).toEqual(
+      'cause: upstream i-4 answered 500 after 1038 ms, and it was not repeated further; upstream i-3 gave none (timeout)',
+    );
+  });
 });
