Part one attempt from the call it belongs to

Cause: call.ts had grown to 307 lines and held both what a request does next and what one sending of it notes. Ruled out: nothing. Change: attempt.ts sends, judges and logs one attempt; call.ts decides. No change of behaviour but that the first attempt of a hedged request, when it is served, has no line of its own.

--- /dev/null
+++ b/src/gateway/attempt.ts
@@ -0,0 +1,114 @@
+import { verdictOf, type AttemptOutcome } from '../core/gateway';
+import { illAt, type Evidence, type Track } from '../core/placement';
+import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../model';
+
+import { headerOf } from './answer-parser';
+import type { GatewayContext } from './context';
+import { encodeRequest, outcomeOf, type CallerRequest } from './forwarding';
+import type { RequestLog } from './request-log';
+import type { ServiceDesk } from './service-desk';
+import type { ExchangeResult } from './upstream-connection';
+import type { UpstreamPool } from './upstream-pool';
+
+/** What a call shares with the others of its gateway. */
+export interface CallContext extends GatewayContext {
+  readonly pool: UpstreamPool;
+  readonly log: RequestLog;
+  /** Nodes that share a service's fixed allowance of repeats; 0 if this one has no part in it. */
+  readonly sharers: (service: string) => number;
+  /** Tells the other nodes what was seen of an upstream in an attempt that began at `sentAt`. */
+  readonly sighted: (desk: ServiceDesk, track: Track, evidence: Evidence, sentAt: Instant) => void;
+}
+
+/** One sending of a request to one upstream. */
+export interface Attempt {
+  readonly request: CallerRequest;
+  readonly route: GatewayRoute;
+  readonly desk: ServiceDesk;
+  readonly track: Track;
+  /** Why this upstream was chosen. */
+  readonly why: string;
+  /** 1 for a request's first. */
+  readonly number: number;
+  /** When its request is given up. */
+  readonly deadline: Instant;
+  readonly signal: AbortSignal;
+}
+
+/** Decimals of a chance in a log line. */
+const ILL_DECIMALS = 3;
+
+/** Notes what an attempt showed of its upstream. */
+const note = (
+  { clock, dialect, sighted }: CallContext,
+  { desk, route, track }: Attempt,
+  outcome: AttemptOutcome,
+  result: ExchangeResult,
+  took: Millis,
+): void => {
+  const { book } = desk;
+  const now = clock.now();
+  const verdict = verdictOf(outcome, took / book.usualLatency(route.name));
+  track.judge(verdict, now);
+  if (verdict.kind === 'evidence') sighted(desk, track, verdict.evidence, now - took);
+  if (result.kind !== 'answered') return;
+  const { head, body } = result;
+  if (outcome.kind === 'served') {
+    const bytes = body.kind === 'whole' ? body.bytes.length : (head.length ?? 0);
+    book.answered(track, route.name, { latency: took, bytes });
+  }
+  const load = dialect.loadOf((name) => headerOf(head.rawHeaders, name));
+  if (load) track.reported(load.running, load.waiting, now);
+};
+
+/** Sends a request whose slot is taken, notes what came of it and gives the slot back. */
+export const runAttempt = async (
+  context: CallContext,
+  attempt: Attempt,
+): Promise<{ readonly outcome: AttemptOutcome; readonly result: ExchangeResult }> => {
+  const { clock, pool, telemetry, dialect } = context;
+  const { request, route, desk, track, why, number, deadline, signal } = attempt;
+  const { upstream } = track;
+  const idempotent = isIdempotent(route.kind);
+  const sentAt = clock.now();
+  const illBefore = Number(illAt(track.belief, sentAt).toFixed(ILL_DECIMALS));
+  const overdue = setTimeout(() => {
+    track.learn('slow', clock.now());
+    context.sighted(desk, track, 'slow', sentAt);
+  }, desk.book.overdueAfter(route.name));
+  const result = await pool.run(upstream, {
+    requestId: request.id,
+    method: request.method,
+    bytes: () => encodeRequest(request, dialect, upstream.id, deadline - clock.now()),
+    deadline,
+    signal,
+    idempotent,
+  });
+  clearTimeout(overdue);
+  const took = clock.now() - sentAt;
+  const outcome = outcomeOf(result, { id: request.id, idempotent }, dialect);
+  note(context, attempt, outcome, result, took);
+  if (result.kind === 'answered' && result.body.kind === 'stream') {
+    result.body.stream.once('close', () => desk.release(track, request.id));
+  } else desk.release(track, request.id);
+  // What was served at once stands in the request's own line.
+  if (outcome.kind !== 'served' || number > 1) {
+    context.log.notable('attempt', {
+      request: request.id,
+      route: route.name,
+      service: desk.name,
+      upstream: upstream.id,
+      placed: why,
+      number,
+      outcome: outcome.kind,
+      ...('why' in outcome ? { why: outcome.why } : {}),
+      ...('status' in outcome ? { status: outcome.status } : {}),
+      tookMs: Math.round(took),
+      inFlight: track.inFlight,
+      illBefore,
+    });
+  }
+  telemetry.latency('attempt', took);
+  telemetry.count('attempts', { service: desk.name, outcome: outcome.kind });
+  return { outcome, result };
+};
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -1,22 +1,14 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { nextStep, verdictOf, type AttemptOutcome } from '../core/gateway';
-import { illAt, type Evidence, type Track } from '../core/placement';
+import { nextStep, type AttemptOutcome } from '../core/gateway';
+import type { Track } from '../core/placement';
 import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../model';
 
-import { headerOf, type AnswerHead } from './answer-parser';
-import type { GatewayContext } from './context';
-import {
-  encodeRequest,
-  outcomeOf,
-  PROMISES_NOT_RUN,
-  UNFRAMED,
-  type CallerRequest,
-} from './forwarding';
-import type { RequestLog } from './request-log';
+import type { AnswerHead } from './answer-parser';
+import { runAttempt, type CallContext } from './attempt';
+import { PROMISES_NOT_RUN, UNFRAMED, type CallerRequest } from './forwarding';
 import type { ServiceDesk } from './service-desk';
-import type { AnswerBody, ExchangeResult } from './upstream-connection';
-import type { UpstreamPool } from './upstream-pool';
+import type { AnswerBody } from './upstream-connection';
 
 /** What a caller is told. */
 export type Reply =
@@ -29,16 +21,6 @@
   /** The caller has left. */
   | { readonly kind: 'nobody' };
 
-/** What a call shares with the others of its gateway. */
-export interface CallContext extends GatewayContext {
-  readonly pool: UpstreamPool;
-  readonly log: RequestLog;
-  /** Nodes that share a service's fixed allowance of repeats; 0 if this one has no part in it. */
-  readonly sharers: (service: string) => number;
-  /** Tells the other nodes what was seen of an upstream in an attempt that began at `sentAt`. */
-  readonly sighted: (desk: ServiceDesk, track: Track, evidence: Evidence, sentAt: Instant) => void;
-}
-
 /** How an attempt ended, and the answer that may be passed on. */
 interface AttemptEnd {
   readonly outcome: AttemptOutcome;
@@ -61,8 +43,6 @@
 const HEDGE_AFTER = 2.5;
 /** Retry-After where no upstream of a service is known; the store is read about once a second. */
 const NO_UPSTREAM_RETRY: Millis = 1000;
-/** Decimals of a chance in a log line. */
-const ILL_DECIMALS = 3;
 
 /** Lets go of an answer that nobody reads, so that its connection is not held. */
 const discard = ({ reply }: AttemptEnd): void => {
@@ -226,57 +206,20 @@
   }
 
   private async attempt(track: Track, why: string, signal: AbortSignal): Promise<AttemptEnd> {
-    const { clock, pool, telemetry, log } = this.context;
-    const { upstream } = track;
-    const sentAt = clock.now();
-    this.tried.add(upstream.id);
-    this.lastUpstream = upstream.id;
+    this.tried.add(track.upstream.id);
+    this.lastUpstream = track.upstream.id;
     this.sends += 1;
-    const number = this.sends;
-    const illBefore = Number(illAt(track.belief, sentAt).toFixed(ILL_DECIMALS));
-    const overdue = setTimeout(() => {
-      track.learn('slow', clock.now());
-      this.context.sighted(this.desk, track, 'slow', sentAt);
-    }, this.desk.book.overdueAfter(this.route.name));
-    const result = await pool.run(upstream, {
-      requestId: this.request.id,
-      method: this.request.method,
-      bytes: () =>
-        encodeRequest(this.request, this.context.dialect, upstream.id, this.deadline - clock.now()),
+    const { outcome, result } = await runAttempt(this.context, {
+      request: this.request,
+      route: this.route,
+      desk: this.desk,
+      track,
+      why,
+      number: this.sends,
       deadline: this.deadline,
       signal,
-      idempotent: this.idempotent,
     });
-    clearTimeout(overdue);
-    const now = clock.now();
-    const outcome = outcomeOf(
-      result,
-      { id: this.request.id, idempotent: this.idempotent },
-      this.context.dialect,
-    );
-    const isStream = result.kind === 'answered' && result.body.kind === 'stream';
-    this.note(track, outcome, result, now - sentAt);
-    if (isStream) result.body.stream.once('close', () => this.desk.release(track, this.request.id));
-    else this.desk.release(track, this.request.id);
     if (outcome.kind === 'failed' || outcome.kind === 'unknown') this.runs += 1;
-    const fields = {
-      request: this.request.id,
-      route: this.route.name,
-      service: this.desk.name,
-      upstream: upstream.id,
-      placed: why,
-      number,
-      outcome: outcome.kind,
-      ...('why' in outcome ? { why: outcome.why } : {}),
-      ...('status' in outcome ? { status: outcome.status } : {}),
-      tookMs: Math.round(now - sentAt),
-      inFlight: track.inFlight,
-      illBefore,
-    };
-    // What was served at once stands in the request's own line.
-    if (outcome.kind !== 'served' || this.sends > 1) log.notable('attempt', fields);
-    telemetry.latency('attempt', now - sentAt);
-    telemetry.count('attempts', { service: this.desk.name, outcome: outcome.kind });
     if (result.kind !== 'answered') return { outcome };
     const reply = { kind: 'answer', head: result.head, body: result.body } as const;
     if (outcome.kind === 'served') return { outcome, reply };
@@ -286,22 +229,4 @@
     if (outcome.kind === 'unknown' && outcome.why === UNFRAMED) this.fallback = reply;
     return { outcome };
   }
-
-  /** Notes what an attempt showed of its upstream. */
-  private note(track: Track, outcome: AttemptOutcome, result: ExchangeResult, took: Millis): void {
-    const { clock, dialect, sighted } = this.context;
-    const { book } = this.desk;
-    const now = clock.now();
-    const verdict = verdictOf(outcome, took / book.usualLatency(this.route.name));
-    track.judge(verdict, now);
-    if (verdict.kind === 'evidence') sighted(this.desk, track, verdict.evidence, now - took);
-    if (outcome.kind === 'served' && result.kind === 'answered') {
-      const { head, body } = result;
-      const bytes = body.kind === 'whole' ? body.bytes.length : (head.length ?? 0);
-      book.answered(track, this.route.name, { latency: took, bytes });
-    }
-    if (result.kind !== 'answered') return;
-    const load = dialect.loadOf((name) => headerOf(result.head.rawHeaders, name));
-    if (load) track.reported(load.running, load.waiting, now);
-  }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,7 +5,8 @@
 import { MILLIS_PER_SECOND, type GatewaySettings, type Millis, type ServiceName } from '../model';
 import type { ConfigRecord, DirectoryCodec, Feed, FeedPage, ReadinessCodec } from '../ports';
 
-import { Call, type CallContext, type Reply } from './call';
+import type { CallContext } from './attempt';
+import { Call, type Reply } from './call';
 import { CallerServer } from './caller-server';
 import type { GatewayContext } from './context';
 import { Follower } from './follower';
