Read the store less often, and follow peers' word sooner

Ruled out: shorter waits (they cost most, and notice nothing sooner than peers). Change: reads wait 3 to 28 s; the pause after news is two fifths of the shorter of the bounds on departures and configurations, 800 ms on the first sites; a peer's word is followed after 300 ms unless a read is due anyway. The test of a store that is behind is red without it.

--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -8,17 +8,15 @@
  * each time, so that of many gateways with hung reads one notices soon and tells the others.
  */
 const SHORTEST_WAIT: Millis = 3000;
-const LONGEST_WAIT: Millis = 15_000;
+const LONGEST_WAIT: Millis = 28_000;
 /** Time allowed for one read beside the wait; the store answers in milliseconds. */
 const READ_TIME: Millis = 800;
 /** Pause after the first read that failed; doubled with each further one. */
 const FIRST_RETRY: Millis = 250;
 /** The longest pause; half of the time in which news has to be known after the store's return. */
 const LONGEST_RETRY: Millis = 1000;
-/** Pause after something new, so that a run of changes costs few reads; a third of the users' bounds. */
-const GATHER: Millis = 700;
-/** Time for the own read to bring what a peer has already read. */
-const PEER_LEAD: Millis = GATHER + 200;
+/** Time for the own waiting read to bring what a peer has already read; then it is taken to hang. */
+const PEER_LEAD: Millis = 300;
 
 /**
  * Pause after so many reads in a row that failed. Load pattern: the store turns all gateways away,
@@ -49,6 +47,9 @@
   /** Reads in a row that failed. */
   private failures = 0;
 
+  /** Between reads; the next one brings all that there is. */
+  private isPausing = false;
+
   private closed = false;
 
   constructor(
@@ -57,6 +58,8 @@
     private readonly clock: Clock,
     private readonly telemetry: Telemetry,
     private readonly draw: () => number,
+    /** Pause after something new, so that a run of changes costs few reads. */
+    private readonly gather: () => Millis,
     private readonly onPage: (page: FeedPage<T>) => void,
   ) {}
 
@@ -75,8 +78,8 @@
     while (!this.closed) {
       const before = this.furthest;
       await this.read(SHORTEST_WAIT + this.draw() * (LONGEST_WAIT - SHORTEST_WAIT));
-      if (this.failures > 0) await sleep(retryPause(this.failures));
-      else if (this.furthest > before) await sleep(GATHER);
+      if (this.failures > 0) await this.pause(retryPause(this.failures));
+      else if (this.furthest > before) await this.pause(this.gather());
     }
   }
 
@@ -85,7 +88,8 @@
     if (head <= this.furthest || this.hinted !== undefined) return;
     this.hinted = head;
     void sleep(PEER_LEAD).then(async () => {
-      if (!this.closed && head > this.furthest) await this.read(0);
+      const isBehind = head > this.furthest && !this.isPausing;
+      if (!this.closed && isBehind) await this.read(0);
       this.hinted = undefined;
     });
   }
@@ -94,6 +98,12 @@
     this.closed = true;
   }
 
+  private async pause(millis: Millis): Promise<void> {
+    this.isPausing = true;
+    await sleep(millis);
+    this.isPausing = false;
+  }
+
   private async read(wait: Millis): Promise<void> {
     const deadline = this.clock.now() + wait + READ_TIME;
     const { position } = this;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -32,6 +32,11 @@
 const DIRECTORY_TTL: Millis = 1000;
 /** Callers may use an old answer for up to this many times its time. */
 const TTL_OVERUSE = 3;
+/**
+ * Pause after news from the store, in parts of the time in which departures and configurations must be
+ * known; the rest is for the read and for requests on their way.
+ */
+const GATHER_PART = 0.4;
 /** Retry-After while no configuration is known. */
 const NO_CONFIG_RETRY: Millis = 500;
 /** Time before the kill at which what is left is broken off. */
@@ -78,16 +83,17 @@
   ) {
     const { settings, clock, telemetry, dialect, draw } = context;
     this.pool = new UpstreamPool(dialect.requestId, clock);
-    this.configFollower = new Follower('config', ports.configFeed, clock, telemetry, draw, (page) =>
-      this.onConfig(page),
-    );
-    this.upstreamFollower = new Follower(
-      'upstreams',
-      ports.upstreamFeed,
-      clock,
-      telemetry,
-      draw,
-      (page) => this.onUpstreams(page),
+    const gather = (): Millis =>
+      GATHER_PART *
+      Math.min(context.settings.bounds.departure, context.settings.bounds.configChange);
+    const follow = <T>(
+      name: string,
+      feed: Feed<T>,
+      onPage: (page: FeedPage<T>) => void,
+    ): Follower<T> => new Follower(name, feed, clock, telemetry, draw, gather, onPage);
+    this.configFollower = follow('config', ports.configFeed, (page) => this.onConfig(page));
+    this.upstreamFollower = follow('upstreams', ports.upstreamFeed, (page) =>
+      this.onUpstreams(page),
     );
     this.inventory = new Inventory(context, {
       pool: this.pool,
--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -12,6 +12,8 @@
 export interface GatewayBounds {
   /** Time in which a leaving upstream must stop getting new work. */
   readonly departure: Millis;
+  /** Time in which a new configuration must be in force. */
+  readonly configChange: Millis;
   /** Time between the signal to stop and the kill. */
   readonly stopGrace: Millis;
   /** Repeats allowed per request of a service, over `repeatWindow`. */
@@ -28,6 +30,7 @@
 /** In force where the settings leave a bound out; the strictest figures of the users' sites. */
 export const DEFAULT_BOUNDS: GatewayBounds = {
   departure: 2000,
+  configChange: 2000,
   stopGrace: 6000,
   repeatRatio: 0.2,
   repeatWindow: 10_000,
--- a/test/gateway/follower.test.ts
+++ b/test/gateway/follower.test.ts
@@ -54,7 +54,9 @@
   let follower: Follower<string>;
   afterEach(() => follower.close());
 
-  const start = (): { feed: ScriptedFeed; items: string[]; events: () => readonly string[] } => {
+  const start = (
+    gather = 700,
+  ): { feed: ScriptedFeed; items: string[]; events: () => readonly string[] } => {
     const feed = new ScriptedFeed();
     const items: string[] = [];
     const telemetry = recordingTelemetry();
@@ -65,6 +67,7 @@
       clock,
       telemetry,
       () => 0.5,
+      () => gather,
       (read) => items.push(...read.items),
     );
     void follower.follow();
@@ -92,6 +95,27 @@
     expect(follower.head).toEqual(5);
   });
 
+  it('goes on asking while a peer is ahead, however long it gathers news', async () => {
+    const { feed, items } = start(60_000);
+    await feed.answer(0, page(-1, [], true));
+    await feed.until(() => feed.reads.length === 2);
+    follower.hint(5);
+    await feed.answer(2, page(-1));
+    follower.hint(5);
+    await feed.answer(3, page(5, ['b', 'c']));
+    expect(items).toEqual(['b', 'c']);
+  });
+
+  it('leaves what a peer has read to its own next read while it pauses after news', async () => {
+    const { feed, items } = start();
+    await feed.answer(0, page(3, ['a'], true));
+    follower.hint(5);
+    await feed.answer(1, page(5, ['b', 'c']));
+    await feed.until(() => feed.reads.length === 3);
+    expect(feed.reads.map(({ kind }) => kind)).toEqual(['newest', 'wait from 3', 'wait from 5']);
+    expect(items).toEqual(['a', 'b', 'c']);
+  });
+
   it('takes nothing back when a hung read ends late', async () => {
     const { feed } = start();
     await feed.answer(0, page(3, [], true));
