Count bytes between data centres as what they cost

Ruled out: never leaving the data centre (its upstreams of a service can all be ill; a failure there is repeated elsewhere). Change: 0.005 a kilobyte rather than 0.0025, 0.25 at most.

--- a/src/core/placement/choose.ts
+++ b/src/core/placement/choose.ts
@@ -52,9 +52,9 @@
   /** Another data centre: its links fail more often. */
   otherDataCentre: 0.004,
   /** Each kilobyte of an answer from another data centre; the users pay for these bytes. */
-  otherDataCentreKb: 0.0025,
+  otherDataCentreKb: 0.005,
   /** The most that bytes from another data centre count; an ill upstream near by is worse. */
-  otherDataCentreMost: 0.12,
+  otherDataCentreMost: 0.25,
   /**
    * An upstream with all slots taken; others may be sending there at this moment, and some slow
    * down when they are nearly full.
@@ -76,7 +76,7 @@
 
 const BYTES_PER_KB = 1024;
 /** A chance of failure up to which an upstream counts as proven. */
-export const PROVEN = 0.1;
+const PROVEN = 0.1;
 /**
  * Lower chances count as this one: an upstream that has answered within the last three seconds is as
  * good as one that has just answered, so that load decides between them.
