Hold removals only in the first second after the store's return

Cause: removals that came up to two seconds after the store's return were held for 1.7 s more, so that a real departure could be followed 3.7 s after it, when the gateway is bound by the limit on departures again. Found by reading. Ruled out: not holding at all (all upstreams lapse at once, see above). Change: one second, which is what the first reading and one more after a lost history take.

--- a/src/core/gateway/lapse.ts
+++ b/src/core/gateway/lapse.ts
@@ -2,6 +2,11 @@
 
 /** Upstreams register again within this time of the store's return; from the users' bounds. */
 const REGISTER_AGAIN: Millis = 2000;
+/**
+ * Removals within this time of the store's return may be from its absence: what the first reading
+ * brings, and one more after a lost history.
+ */
+const FIRST_READINGS: Millis = 1000;
 /** Part of the time that a departure may take which is left for requests on their way. */
 const DEPARTURE_MARGIN: Millis = 300;
 /** Removals read at once that can't be single departures: at least so many... */
@@ -34,7 +39,7 @@
   storeReturnedAt,
   departure,
 }: Removals): Instant | undefined => {
-  const isAfterReturn = now - storeReturnedAt < REGISTER_AGAIN;
+  const isAfterReturn = now - storeReturnedAt < FIRST_READINGS;
   const isMany = count >= MANY && count >= MANY_SHARE * known;
   if (!isAfterReturn && !isMany) return undefined;
   return now + Math.min(REGISTER_AGAIN, departure - DEPARTURE_MARGIN);
