Give the soak's fleet the current configuration when faults are over

Two gateways that started after the older configuration's record had been put once more had read version 1, as the store's newest, and every tenth request asked for version 2's route; the record of version 2 was never put again. Ruled out: a gateway that goes back (those that knew version 2 kept it); a slow start (all were ready and served). Change: recovery puts the current configuration first, as operators would; a reload of a process that has ended is nothing. Conclusion: a fault of the soak, not of gateways.

--- a/test/soak/gateways/world.ts
+++ b/test/soak/gateways/world.ts
@@ -98,7 +98,6 @@
     for (let i = 0; i < SIZES.upstreams; i++) {
       this.sites.push(await Site.start(`i-${i}`, this.store));
     }
-    this.configure(this.version);
     for (const address of addresses) {
       const link = await proxyTo(this.store.port);
       this.storeLinks.push(link);
@@ -156,9 +155,10 @@
       }
       case 'reload': {
         const host = this.hosts[fault.gateway];
-        if (!host?.process) return undefined;
+        if (!host) return undefined;
         await writeFile(host.file, `${host.text}\n# ${Date.now()}\n`);
-        host.process.reload();
+        // It may have ended meanwhile.
+        host.process?.reload();
         return undefined;
       }
       case 'store':
@@ -251,6 +251,7 @@
   /** Ends all faults, and waits until the fleet serves again. */
   private async recover(): Promise<void> {
     this.store.mood = 'well';
+    this.configure(this.version);
     this.sites.forEach(({ upstream }) => Object.assign(upstream, { mood: 'well' }));
     await Promise.all([...this.storeLinks, ...this.sites.map(({ proxy }) => proxy)].map(heal));
     this.hosts.forEach((_, gateway) => this.launch(gateway));
