Try a suspect upstream with calls that can't be retried

Change: a trial that has waited 2 s for an idempotent call takes one that is not idempotent, one at a time, and only after the suspect has answered a probe. A failure may have run and is not sent again. Services with idempotent calls decide their trials before, so only callers of services without them bear the risk; evidence ejects after a few failures, and the hold-down doubles. Weighed: clearing by probes alone, which gray failures pass; the fleet's evidence, which only the shard's owner has.

The two health cases now wait for a change of the upstream's health state before they look at arrivals; a low load met the wait before health acted.

--- a/bench/detect/detectors.ts
+++ b/bench/detect/detectors.ts
@@ -108,7 +108,7 @@
   }
 
   nextTrial(): number {
-    const id = this.health.upstreamDueForTrial();
+    const id = this.health.upstreamDueForTrial(true);
     return id === undefined ? -1 : (this.indexById.get(id) ?? -1);
   }
 
--- a/src/core/health/review.ts
+++ b/src/core/health/review.ts
@@ -12,7 +12,7 @@
  */
 const SUSPECT_PAUSE_MS: Millis = 300;
 /** Time in milliseconds from a passed trial after ejection to a full share. */
-const PROBATION_RAMP_MS: Millis = 3_000;
+export const PROBATION_RAMP_MS: Millis = 3_000;
 /** Base hold-down in milliseconds for upstreams whose return a probe can show. */
 const UNREACHABLE_HOLD_DOWN_MS: Millis = 1_000;
 /** Time in milliseconds until a cold or new upstream has its full share. */
--- a/src/core/health/shard-health.ts
+++ b/src/core/health/shard-health.ts
@@ -22,7 +22,7 @@
   type ReviewContext,
 } from './review';
 import { HealthEntries } from './health-entries';
-import { isOnTrial, slotShare } from './share';
+import { acceptsUnsafeTrial, isOnTrial, slotShare } from './share';
 import { thresholdsFor, type Thresholds } from './thresholds';
 import { ZERO_SCORES } from './upstream-evidence';
 
@@ -90,11 +90,18 @@
     return share === 0 ? 0 : Math.max(1, Math.floor(share * slots)) - evidence.openCount;
   }
 
-  /** Returns an upstream on trial that the next idempotent call should go to, if any. */
-  upstreamDueForTrial(): UpstreamId | undefined {
+  /**
+   * Returns an upstream on trial that the next call should go to, if any. Calls that are not
+   * idempotent are used only for a trial that has waited in vain for others.
+   */
+  upstreamDueForTrial(idempotent: boolean): UpstreamId | undefined {
     const due = this.entries
       .onTrial(this.now)
-      .find(({ upstream }) => this.availableSlots(upstream.id) > 0);
+      .find(
+        (entry) =>
+          this.availableSlots(entry.upstream.id) > 0 &&
+          (idempotent || acceptsUnsafeTrial(entry, this.now)),
+      );
     return due?.upstream.id;
   }
 
--- a/src/tasks/attempts.ts
+++ b/src/tasks/attempts.ts
@@ -93,8 +93,8 @@
   }
 
   /**
-   * Attempts the call at an upstream on trial. Resolves to undefined if that takes longer than the
-   * hedge delay; the attempt then goes on for the upstream's health alone.
+   * Attempts the call at an upstream on trial. If an idempotent call takes longer than the hedge
+   * delay, resolves to undefined; the attempt then goes on for the upstream's health alone.
    */
   async tryTrial(shardCall: ShardCall, id: UpstreamId): Promise<AttemptOutcome | undefined> {
     const { call, payload, signal } = shardCall;
@@ -102,6 +102,7 @@
     shardCall.triedUpstreams.push(id);
     const controller = linkedController(signal);
     const trial = pool.sendTrial(id, call, payload, controller.signal).then(outcomeOf);
+    if (!call.idempotent) return trial;
     const timer = startTimer(hedge.get() ?? DEFAULT_TRIAL_WAIT_MS);
     const outcome = await Promise.race([trial, timer.late]);
     timer.cancel();
--- a/src/tasks/shard.ts
+++ b/src/tasks/shard.ts
@@ -4,6 +4,7 @@
   finalOutcome,
   hashOf,
   HedgeDelay,
+  mayRetry,
   RetryBudget,
   type FailedAttempt,
   type Shard,
@@ -112,6 +113,9 @@
   private async attemptUntilDone(shardCall: ShardCall): Promise<Reply> {
     const trial = await this.tryTrial(shardCall);
     if (trial?.kind === 'reply') return trial.reply;
+    if (trial && !mayRetry(shardCall.call.idempotent, trial.failed)) {
+      return trial.answer ?? { kind: 'refused', outcome: finalOutcome(trial.failed) };
+    }
     let last: FailedAttempt | undefined;
     for (;;) {
       const grant = await this.attempts.admit(shardCall, shardCall.signal);
@@ -123,7 +127,7 @@
       const outcome = await this.attempts.tryHedged(shardCall, grant.upstream);
       if (outcome.kind === 'reply') return outcome.reply;
       const next = decideRetry(shardCall.call.idempotent, outcome.failed, () =>
-        this.mayRetry(shardCall),
+        this.hasRetryLeft(shardCall),
       );
       if (next.kind === 'give-up') {
         return outcome.answer ?? { kind: 'refused', outcome: next.outcome };
@@ -134,20 +138,20 @@
   }
 
   /** Returns whether another upstream may be tried; takes a token of the budget if so. */
-  private mayRetry({ payload, triedUpstreams }: ShardCall): boolean {
+  private hasRetryLeft({ payload, triedUpstreams }: ShardCall): boolean {
     return payload.kind === 'whole' && this.pool.size > triedUpstreams.length && this.budget.take();
   }
 
   /**
-   * Sends an idempotent call to an upstream on trial, if a trial is due. Its failure takes nothing
-   * from the retry budget.
+   * Sends a call to an upstream on trial, if a trial is due. Its failure takes nothing from the
+   * retry budget.
    */
   private async tryTrial(shardCall: ShardCall): Promise<AttemptOutcome | undefined> {
     const { call, payload } = shardCall;
-    if (!call.idempotent || payload.kind === 'stream') return undefined;
-    const upstream = this.health.trialDue();
+    if (payload.kind === 'stream') return undefined;
+    const upstream = this.health.trialDue(call.idempotent);
     if (upstream === undefined) return undefined;
-    this.context.telemetry.count('trial');
+    this.context.telemetry.count('trial', { idempotent: String(call.idempotent) });
     return this.attempts.tryTrial(shardCall, upstream);
   }
 }
--- a/src/tasks/upstream-health.ts
+++ b/src/tasks/upstream-health.ts
@@ -54,9 +54,9 @@
     this.share();
   }
 
-  /** Returns an upstream whose recovery the next idempotent call should test, if there is one. */
-  trialDue(): UpstreamId | undefined {
-    return this.health.upstreamDueForTrial();
+  /** Returns an upstream whose recovery the next call should test, if there is one. */
+  trialDue(idempotent: boolean): UpstreamId | undefined {
+    return this.health.upstreamDueForTrial(idempotent);
   }
 
   /** Records the start of an attempt and returns its id, by which its end is reported. */
--- a/test/core/health/ejection.test.ts
+++ b/test/core/health/ejection.test.ts
@@ -129,7 +129,7 @@
     expect(driver.healthState('u0')).toEqual('ejected');
     driver.answerProbe('u0', 'self', ok(25));
     expect(driver.healthState('u0')).toEqual('probation');
-    expect(driver.health.upstreamDueForTrial()).toEqual('u0');
+    expect(driver.health.upstreamDueForTrial(true)).toEqual('u0');
     for (let trial = 0; trial < 40; trial++) driver.run('u0', 25);
     expect(driver.health.share('u0') < 1).toEqual(true);
     driver.advance(3_100);
--- a/test/core/health/suspicion.test.ts
+++ b/test/core/health/suspicion.test.ts
@@ -15,9 +15,9 @@
   it('ends after successful trial attempts, one at a time', () => {
     const driver = new Driver(5);
     driver.fail('u0', CONNECT_FAILED, 2);
-    expect(driver.health.upstreamDueForTrial()).toEqual(undefined);
+    expect(driver.health.upstreamDueForTrial(true)).toEqual(undefined);
     driver.advance(350);
-    expect(driver.health.upstreamDueForTrial()).toEqual('u0');
+    expect(driver.health.upstreamDueForTrial(true)).toEqual('u0');
     const attempt = driver.start('u0');
     expect(driver.health.availableSlots('u0')).toEqual(0);
     driver.end('u0', attempt, ok(25));
@@ -28,6 +28,21 @@
     );
   });
 
+  it('is tested by calls that are not idempotent if no others come for two seconds', () => {
+    const driver = new Driver(5);
+    driver.fail('u0', CONNECT_FAILED, 2);
+    driver.advance(2200);
+    expect(driver.health.upstreamDueForTrial(false)).toEqual(undefined);
+    driver.advance(150);
+    driver.answerProbe('u0', 'self', CONNECT_FAILED);
+    expect(driver.health.upstreamDueForTrial(false)).toEqual(undefined);
+    driver.advance(2000);
+    driver.answerProbe('u0', 'self', ok(25));
+    expect(driver.health.upstreamDueForTrial(false)).toEqual('u0');
+    for (let trial = 0; trial < 30; trial++) driver.run('u0', 25);
+    expect(driver.healthState('u0')).toEqual('healthy');
+  });
+
   it('is raised by stalled requests before any of them ends', () => {
     const driver = new Driver(5);
     for (let open = 0; open < 6; open++) driver.start('u0');
--- a/test/process/health.test.ts
+++ b/test/process/health.test.ts
@@ -40,6 +40,13 @@
   return (await upstream.runs()).arrivals - before;
 };
 
+/** Waits until a node changes the health state of the upstream, which a low load delays. */
+const waitUntilDetected = ({ nodes }: Fleet, { id }: UpstreamProcess): Promise<void> =>
+  waitUntil(`a node changes the health state of ${id}`, async () => {
+    const lines = nodes.flatMap((node) => node.process.lines);
+    return lines.some((line) => line.includes('event=standing') && line.includes(id));
+  });
+
 /** Returns the counters of all nodes; of equal names, one node's value. */
 const nodeCounters = async ({ nodes }: Fleet): Promise<Readonly<Record<string, number>>> => {
   const statuses = await Promise.all(nodes.map(statusOf));
@@ -66,6 +73,7 @@
         const load = startReadLoad(fleet);
         await pause(OBSERVATION_MS);
         await faulty.control(control);
+        await waitUntilDetected(fleet, faulty);
         await waitUntil(
           'the faulty upstream gets only trial requests',
           async () => (await arrivalsDuringObservation(faulty)) <= MAX_TRIAL_COUNT,
--- a/test/soak/health-simulation.ts
+++ b/test/soak/health-simulation.ts
@@ -166,7 +166,7 @@
   private startAttempt(isFlapperFailing: boolean): void {
     const random =
       this.upstreams[this.drawBelow(this.upstreams.length)]?.id ?? FLAPPING_UPSTREAM_ID;
-    const upstream = this.health.upstreamDueForTrial() ?? random;
+    const upstream = this.health.upstreamDueForTrial(true) ?? random;
     if (this.health.availableSlots(upstream) <= 0) return;
     const attempt = `a${this.attempts}`;
     this.attempts += 1;
