End the grace for lapsed upstreams by the time of the last read that showed them

Cause of two traced breaches of DRAIN.

Ruled out: a hung read (both reads were answered at once) and a busy process (the log shows the page applied when it came).

Change: the grace ends a drain time after the previous read, which still showed the upstream, or, after failed reads, a stability window after the start of the last one that failed. Removals count as a mass only as far as others have not joined in their place. A lapsed upstream is chosen only if no registered one has a free slot, is never used for coverage, and counts as registered again when its entry is back.

--- a/src/core/gateway/lapsed-registrations.ts
+++ b/src/core/gateway/lapsed-registrations.ts
@@ -7,7 +7,7 @@
  * outage. It covers the first read and a second one if the store has lost its change history.
  */
 const STORE_RECOVERY_WINDOW_MS: Millis = 1000;
-/** Time in milliseconds of the drain time that is kept for requests in flight. */
+/** Time in milliseconds before the drain time ends that is kept for requests being sent. */
 const DRAIN_MARGIN_MS: Millis = 300;
 /**
  * Number of removals in one read from which they can't be single departures, if the ratio below is
@@ -24,30 +24,43 @@
 export interface RemovalBatch {
   /** Number of removed upstreams that were ready and had not announced that they leave. */
   readonly count: number;
+  /** Number of upstreams that the same read has added. */
+  readonly joinedCount: number;
   /** Number of upstreams in service before the read. */
   readonly known: number;
   /** Time of the read. */
   readonly now: Instant;
-  /** Time of the store's last recovery from an outage; -Infinity if it always answered. */
+  /** Time of the successful read before it; the removals happened later. -Infinity if none was. */
+  readonly previousReadAt: Instant;
+  /** Start of the last read that failed; -Infinity if the store always answered. */
+  readonly failedReadAt: Instant;
+  /** Time of the last successful read after a failed one; -Infinity if the store always answered. */
   readonly storeReturnedAt: Instant;
   /** Milliseconds within which a leaving upstream must stop getting new requests. */
   readonly drainTime: Millis;
+  /** Milliseconds after an outage for which the drain time is not yet binding. */
+  readonly stabilityWindow: Millis;
 }
 
 /**
  * Returns the time until which upstreams whose registration is gone stay in use; undefined if they
  * have left. Load pattern: the store recovers without most registrations, and the upstreams, all
  * healthy, register again one by one; removing them at once would refuse all requests meanwhile.
+ * A host that was itself cut off from the store also finds departures; these are few, or other
+ * upstreams have replaced them, and each must be out of use a drain time after the latest read that
+ * still showed it.
  */
-export const lapsedUntil = ({
-  count,
-  known,
-  now,
-  storeReturnedAt,
-  drainTime,
-}: RemovalBatch): Instant | undefined => {
-  const isAfterReturn = now - storeReturnedAt < STORE_RECOVERY_WINDOW_MS;
-  const isMany = count >= MASS_REMOVAL_MIN_COUNT && count >= MASS_REMOVAL_MIN_RATIO * known;
+export const lapsedUntil = (batch: RemovalBatch): Instant | undefined => {
+  const { count, joinedCount, known, now, drainTime } = batch;
+  const isAfterReturn = now - batch.storeReturnedAt < STORE_RECOVERY_WINDOW_MS;
+  const netCount = count - joinedCount;
+  const isMany = netCount >= MASS_REMOVAL_MIN_COUNT && netCount >= MASS_REMOVAL_MIN_RATIO * known;
   if (!isAfterReturn && !isMany) return undefined;
-  return now + Math.min(REREGISTRATION_TIMEOUT_MS, drainTime - DRAIN_MARGIN_MS);
+  const bindingAt = Math.max(
+    batch.previousReadAt + drainTime,
+    batch.failedReadAt + batch.stabilityWindow,
+    isMany ? now + drainTime : Number.NEGATIVE_INFINITY,
+  );
+  const until = Math.min(now + REREGISTRATION_TIMEOUT_MS, bindingAt - DRAIN_MARGIN_MS);
+  return until > now ? until : undefined;
 };
--- a/src/core/gateway/upstream-list.ts
+++ b/src/core/gateway/upstream-list.ts
@@ -12,11 +12,12 @@
 
 /**
  * The effect of a change on the list. `joined` is a new upstream, `reborn` a new run of a known
- * one, `draining` a change of state, and `moved` one of service, slots or endpoint.
+ * one, `draining` a change of state, `moved` one of service, slots or endpoint, and `returned` a
+ * lapsed one that has registered again.
  */
 export type UpstreamListEvent =
   | {
-      readonly kind: 'joined' | 'reborn' | 'draining' | 'moved';
+      readonly kind: 'joined' | 'reborn' | 'draining' | 'moved' | 'returned';
       readonly upstream: GatewayUpstream;
     }
   /**
@@ -81,6 +82,13 @@
     ).length;
   }
 
+  /** Returns the number of changes that add an upstream which is not in the list. */
+  joinedCount(changes: readonly UpstreamChange[]): number {
+    return changes.filter(
+      (change) => change.kind === 'put' && !this.upstreams.has(change.upstream.id),
+    ).length;
+  }
+
   /**
    * Applies a change and returns its effect, if any. An upstream that is removed while ready stays
    * in the list until `keepUntil`; it is removed at once if that is undefined.
@@ -93,9 +101,10 @@
         const { upstream } = change;
         const known = this.upstreams.get(upstream.id);
         if (known && isOutdated(upstream, known)) return undefined;
-        this.expiryById.delete(upstream.id);
+        const wasLapsed = this.expiryById.delete(upstream.id);
         this.upstreams.set(upstream.id, upstream);
-        return listEventOf(upstream, known);
+        const event = listEventOf(upstream, known);
+        return !event && wasLapsed ? { kind: 'returned', upstream } : event;
       }
     }
   }
--- a/src/core/placement/choose-upstream.ts
+++ b/src/core/placement/choose-upstream.ts
@@ -152,6 +152,12 @@
 const queueTime = (load: number, slots: number, meanLatency: Millis): Millis =>
   (Math.max(0, load + 1 - slots) / slots) * meanLatency;
 
+const hasFreeSlot = (
+  stats: UpstreamStats,
+  { meanLatency }: PlacementRequest,
+  now: Instant,
+): boolean => stats.load(now, meanLatency) < stats.upstream.slots;
+
 const hasCapacity = (stats: UpstreamStats, request: PlacementRequest, now: Instant): boolean => {
   const { slots } = stats.upstream;
   const load = stats.load(now, request.meanLatency);
@@ -220,6 +226,7 @@
 ): UpstreamStats | undefined =>
   candidates.find(
     (stats) =>
+      !stats.isLapsed &&
       stats.lastSentAt === Number.NEGATIVE_INFINITY &&
       stats.joinedAt !== undefined &&
       now - stats.joinedAt >= NEWCOMER_MIN_AGE_MS &&
@@ -237,7 +244,7 @@
   { minCoverageRatio, now, random }: PlacementContext,
 ): UpstreamStats | undefined => {
   const healthy = candidates.filter(
-    (stats) => now - stats.lastFailedAt >= RECENT_FAILURE_WINDOW_MS,
+    (stats) => !stats.isLapsed && now - stats.lastFailedAt >= RECENT_FAILURE_WINDOW_MS,
   );
   const unused = healthy.filter((stats) => now - stats.lastSentAt >= RECENT_USE_WINDOW_MS);
   if (healthy.length - unused.length >= minCoverageRatio * healthy.length) return undefined;
@@ -268,6 +275,22 @@
   );
 };
 
+/**
+ * Returns the registered upstreams with a free slot, or all if there are none. Load pattern: some
+ * registrations have lapsed with the store, and few of these upstreams are gone.
+ */
+const preferRegistered = (
+  available: readonly UpstreamStats[],
+  request: PlacementRequest,
+  now: Instant,
+): readonly UpstreamStats[] => {
+  if (!available.some(({ isLapsed }) => isLapsed)) return available;
+  const registered = available.filter(
+    (stats) => !stats.isLapsed && hasFreeSlot(stats, request, now),
+  );
+  return registered.length > 0 ? registered : available;
+};
+
 /**
  * Selects the upstream for a request: on an owner first a newcomer or one to cover, else the one of
  * lowest expected cost that has capacity. Load pattern: at any time about three in ten upstreams
@@ -295,7 +318,7 @@
     if (next && hasCapacity(next, request, now)) return { kind: 'send', stats: next, why: 'cover' };
   }
   const best = minBy(
-    available,
+    preferRegistered(available, request, now),
     (stats) => expectedCost(stats, request, context) + COST_WEIGHTS.jitterMax * context.random(),
   );
   if (!best) return { kind: 'full' };
--- a/src/core/placement/load-balancer.ts
+++ b/src/core/placement/load-balancer.ts
@@ -107,7 +107,7 @@
    */
   put(upstream: GatewayUpstream, now: Instant): void {
     const known = this.statsById.get(upstream.id);
-    if (known && known.upstream.born === upstream.born) known.upstream = upstream;
+    if (known && known.upstream.born === upstream.born) known.register(upstream);
     else
       this.statsById.set(
         upstream.id,
@@ -119,6 +119,11 @@
     this.allStats = [...this.statsById.values()];
   }
 
+  /** Marks an upstream whose registration has lapsed; `put` clears the mark. */
+  markLapsed(id: UpstreamId): void {
+    this.statsById.get(id)?.lapse();
+  }
+
   remove(id: UpstreamId): void {
     this.statsById.delete(id);
     this.allStats = [...this.statsById.values()];
--- a/src/core/placement/upstream-stats.ts
+++ b/src/core/placement/upstream-stats.ts
@@ -46,19 +46,41 @@
    */
   latencyRatio = 1;
 
+  private isRegistrationLapsed = false;
+
   private readonly inFlightRequests = new Map<string, InFlightRequest>();
 
   /** Number of requests from other nodes that the upstream held at the time `at`. */
   private remoteLoad = { count: 0, at: 0 };
 
   constructor(
-    public upstream: GatewayUpstream,
+    private entry: GatewayUpstream,
     /**
      * Time at which the upstream joined a service with recent requests; undefined if that had none.
      */
     readonly joinedAt: Instant | undefined,
   ) {}
 
+  /** The latest entry of the upstream. */
+  get upstream(): GatewayUpstream {
+    return this.entry;
+  }
+
+  /** Whether the registration has lapsed; the upstream may be gone, or may register again. */
+  get isLapsed(): boolean {
+    return this.isRegistrationLapsed;
+  }
+
+  /** Replaces the entry by a later one of the same run. */
+  register(entry: GatewayUpstream): void {
+    this.entry = entry;
+    this.isRegistrationLapsed = false;
+  }
+
+  lapse(): void {
+    this.isRegistrationLapsed = true;
+  }
+
   /** Number of this node's requests in flight at the upstream. */
   get inFlight(): number {
     return this.inFlightRequests.size;
--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -36,6 +36,25 @@
 export const retryDelay = (failures: number): Millis =>
   Math.min(MAX_RETRY_DELAY_MS, INITIAL_RETRY_DELAY_MS * 2 ** (failures - 1));
 
+/** Times of the reads of a feed; -Infinity for one that has not taken place. */
+export interface ReadTiming {
+  /** When the latest successful read ended. */
+  readonly readAt: Instant;
+  /** When the successful read before it ended; its items are younger than that. */
+  readonly previousReadAt: Instant;
+  /** When the latest failed read started. The store may have been reachable again since then. */
+  readonly failedReadAt: Instant;
+  /** When the store last answered again after failed reads. */
+  readonly storeReturnedAt: Instant;
+}
+
+const NO_READS: ReadTiming = {
+  readAt: Number.NEGATIVE_INFINITY,
+  previousReadAt: Number.NEGATIVE_INFINITY,
+  failedReadAt: Number.NEGATIVE_INFINITY,
+  storeReturnedAt: Number.NEGATIVE_INFINITY,
+};
+
 /**
  * Follows a feed of the store by long-poll reads. A read may hang on a connection that no longer
  * delivers bytes; the positions that peers report reveal this, and the follower then reads again.
@@ -47,11 +66,7 @@
   /** The highest position read so far; a snapshot at a lower position is out of date. */
   private furthestPosition = -1;
 
-  /** When the last successful read ended. */
-  private readAt: Instant = Number.NEGATIVE_INFINITY;
-
-  /** When the store last answered again after failed reads; -Infinity if no read has failed. */
-  storeReturnedAt: Instant = Number.NEGATIVE_INFINITY;
+  private timing = NO_READS;
 
   /** Position reported by a peer that is ahead, while the follower waits to catch up with it. */
   private pendingPeerPosition: number | undefined;
@@ -73,7 +88,7 @@
     /** Returns the pause after new items, which batches several changes into one read. */
     private readonly batchPause: () => Millis,
     /** Receives each page that was read. */
-    private readonly onPage: (page: FeedPage<T>) => void,
+    private readonly onPage: (page: FeedPage<T>, timing: ReadTiming) => void,
   ) {}
 
   /** The highest position read so far; -1 before the first successful read. */
@@ -83,7 +98,7 @@
 
   /** Returns the milliseconds since the last successful read; -1 before the first. */
   age(now: Instant): Millis {
-    return this.furthestPosition < 0 ? -1 : now - this.readAt;
+    return this.furthestPosition < 0 ? -1 : now - this.timing.readAt;
   }
 
   /** Reads the feed until the follower is closed. */
@@ -118,7 +133,8 @@
   }
 
   private async read(wait: Millis): Promise<void> {
-    const deadline = this.clock.now() + wait + READ_TIMEOUT_MS;
+    const startedAt = this.clock.now();
+    const deadline = startedAt + wait + READ_TIMEOUT_MS;
     const { position } = this;
     const page =
       position === undefined
@@ -126,32 +142,31 @@
         : await this.feed.readSince(position, wait, deadline);
     if (this.closed) return;
     page.caseOf({
-      Left: (fault) => this.onFault(fault),
-      Right: (read) => this.onRead(read),
+      Left: (fault) => this.onFault(fault, startedAt),
+      Right: (read) => this.onRead(read, startedAt),
     });
   }
 
-  private onRead(page: FeedPage<T>): void {
+  private onRead(page: FeedPage<T>, startedAt: Instant): void {
     if (page.isSnapshot && page.position < this.furthestPosition) {
-      this.onFault({
-        kind: 'malformed',
-        detail: 'snapshot is older than the position already read',
-      });
+      const detail = 'snapshot is older than the position already read';
+      this.onFault({ kind: 'malformed', detail }, startedAt);
       return;
     }
-    this.readAt = this.clock.now();
+    const now = this.clock.now();
+    this.timing = { ...this.timing, readAt: now, previousReadAt: this.timing.readAt };
     if (this.failures > 0) {
       this.telemetry.event('feed-regained', { feed: this.name, failures: this.failures });
-      this.storeReturnedAt = this.readAt;
+      this.timing = { ...this.timing, storeReturnedAt: now };
     }
     this.failures = 0;
     // Two reads may overlap; the one with the higher position counts.
     if (page.position >= this.furthestPosition) this.position = page.position;
     this.furthestPosition = Math.max(this.furthestPosition, page.position);
-    this.onPage(page);
+    this.onPage(page, this.timing);
   }
 
-  private onFault(fault: FeedFault): void {
+  private onFault(fault: FeedFault, startedAt: Instant): void {
     this.telemetry.count('feed_faults', { feed: this.name, kind: fault.kind });
     switch (fault.kind) {
       case 'position-gone':
@@ -162,6 +177,7 @@
       case 'unreachable':
       case 'malformed':
         this.failures += 1;
+        this.timing = { ...this.timing, failedReadAt: startedAt };
         if (this.failures > 1) return;
         this.telemetry.event('feed-lost', {
           feed: this.name,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,7 +9,7 @@
 import { ProxiedRequest, type GatewayReply } from './proxied-request';
 import { CallerServer } from './caller-server';
 import type { GatewayContext } from './context';
-import { Follower } from './follower';
+import { Follower, type ReadTiming } from './follower';
 import { Fleet } from './fleet';
 import type { CallerRequest } from './forwarding';
 import { UpstreamRegistry } from './upstream-registry';
@@ -94,11 +94,11 @@
     const follow = <T>(
       name: string,
       feed: Feed<T>,
-      onPage: (page: FeedPage<T>) => void,
+      onPage: (page: FeedPage<T>, timing: ReadTiming) => void,
     ): Follower<T> => new Follower(name, feed, clock, telemetry, random, batchPause, onPage);
     this.configFollower = follow('config', ports.configFeed, (page) => this.onConfig(page));
-    this.upstreamFollower = follow('upstreams', ports.upstreamFeed, (page) =>
-      this.onUpstreams(page),
+    this.upstreamFollower = follow('upstreams', ports.upstreamFeed, (page, timing) =>
+      this.onUpstreams(page, timing),
     );
     this.registry = new UpstreamRegistry(context, {
       pool: this.pool,
@@ -296,8 +296,8 @@
     this.fleet.recomputeOwners();
   }
 
-  private onUpstreams(page: FeedPage<UpstreamChange>): void {
-    this.registry.onPage(page, this.upstreamFollower.storeReturnedAt);
+  private onUpstreams(page: FeedPage<UpstreamChange>, timing: ReadTiming): void {
+    this.registry.onPage(page, timing);
     if (page.items.length > 0) this.recomputeHostGroups();
     this.joinWhenReady();
   }
--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/service-scheduler.ts
@@ -166,6 +166,11 @@
     this.drainQueue();
   }
 
+  /** Marks an upstream whose registration has lapsed, so that registered ones go first. */
+  markLapsed(id: UpstreamId): void {
+    this.balancer.markLapsed(id);
+  }
+
   remove(id: UpstreamId): void {
     this.balancer.remove(id);
     this.drainQueue();
--- a/src/gateway/upstream-registry.ts
+++ b/src/gateway/upstream-registry.ts
@@ -4,10 +4,11 @@
   type UpstreamChange,
   type UpstreamListEvent,
 } from '../core/gateway';
-import type { GatewayUpstream, Instant, Millis, ServiceName } from '../model';
+import type { GatewayUpstream, Millis, ServiceName } from '../model';
 import type { FeedPage } from '../ports';
 
 import type { GatewayContext } from './context';
+import type { ReadTiming } from './follower';
 import type { ServiceScheduler } from './service-scheduler';
 import type { ConnectionPool } from './connection-pool';
 
@@ -31,19 +32,20 @@
     private readonly service: UpstreamRegistryService,
   ) {}
 
-  /**
-   * Applies a page of the upstream feed; `storeReturnedAt` is when the last outage of the store
-   * ended.
-   */
-  onPage(page: FeedPage<UpstreamChange>, storeReturnedAt: Instant): void {
-    const now = this.context.clock.now();
+  /** Applies a page of the upstream feed, read at the times of `timing`. */
+  onPage(page: FeedPage<UpstreamChange>, timing: ReadTiming): void {
+    const { drainTime, stabilityWindow } = this.context.settings.bounds;
     const changes = page.isSnapshot ? this.list.changesFromSnapshot(page.items) : page.items;
     const keepUntil = lapsedUntil({
       count: this.list.unannouncedRemovalCount(changes),
+      joinedCount: this.list.joinedCount(changes),
       known: this.list.size,
-      now,
-      storeReturnedAt,
-      drainTime: this.context.settings.bounds.drainTime,
+      drainTime,
+      stabilityWindow,
+      now: timing.readAt,
+      previousReadAt: timing.previousReadAt,
+      failedReadAt: timing.failedReadAt,
+      storeReturnedAt: timing.storeReturnedAt,
     });
     changes.forEach((change) => {
       const event = this.list.apply(change, keepUntil);
@@ -66,6 +68,7 @@
       case 'lapsed': {
         const leftMs = event.until - clock.now();
         telemetry.event('upstream-lapsed', { upstream: event.id, leftMs: Math.round(leftMs) });
+        this.service.schedulers().forEach((scheduler) => scheduler.markLapsed(event.id));
         this.scheduleExpiry(leftMs);
         return;
       }
@@ -73,6 +76,7 @@
       case 'reborn':
       case 'draining':
       case 'moved':
+      case 'returned':
         this.put(event.kind, event.upstream);
     }
   }
--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -14,6 +14,11 @@
 export interface GatewayBounds {
   /** Time within which a draining upstream must stop getting new requests. */
   readonly drainTime: Millis;
+  /**
+   * Time for which a host has been in contact with the store, and the store available, from which
+   * the other bounds are binding.
+   */
+  readonly stabilityWindow: Millis;
   /** Time within which a new configuration must be in force. */
   readonly configApplyTime: Millis;
   /** Time between the signal to stop and the kill of the process. */
@@ -35,6 +40,7 @@
 /** Defaults for bounds that the settings leave out: the strictest values that deployments set. */
 export const DEFAULT_BOUNDS: GatewayBounds = {
   drainTime: 2000,
+  stabilityWindow: 3000,
   configApplyTime: 2000,
   stopGrace: 6000,
   repeatRatio: 0.2,
--- a/test/core/gateway/upstreams.test.ts
+++ b/test/core/gateway/upstreams.test.ts
@@ -58,7 +58,7 @@
       'left',
     ]);
     expect(list.size).toEqual(2);
-    expect(list.apply(put(entry({ reportSequence: 7 })))).toEqual(undefined);
+    expect(list.apply(put(entry({ reportSequence: 7 })))?.kind).toEqual('returned');
     expect(list.nextExpiry()).toEqual(100);
     expect(list.expire(99)).toEqual([]);
     expect(list.expire(100)).toEqual([{ kind: 'left', upstream: entry({ id: 'v' }) }]);
@@ -69,10 +69,14 @@
 describe('removed registrations', () => {
   const removals = {
     count: 1,
+    joinedCount: 0,
     known: 40,
     now: 10_000,
+    previousReadAt: 9200,
+    failedReadAt: Number.NEGATIVE_INFINITY,
     storeReturnedAt: Number.NEGATIVE_INFINITY,
     drainTime: 2000,
+    stabilityWindow: 3000,
   };
 
   it('count as departures while the store is available', () => {
@@ -80,9 +84,35 @@
     expect(lapsedUntil({ ...removals, storeReturnedAt: 8900 })).toEqual(undefined);
   });
 
-  it('are kept after the store recovers, for less than the drain time', () => {
-    expect(lapsedUntil({ ...removals, storeReturnedAt: 9100 })).toEqual(11_700);
-    expect(lapsedUntil({ ...removals, storeReturnedAt: 9100, drainTime: 9000 })).toEqual(12_000);
+  it('are kept after the store recovers, until a drain time after they were last read', () => {
+    const returned = { ...removals, storeReturnedAt: 9200, failedReadAt: 6000 };
+    expect(lapsedUntil(returned)).toEqual(10_900);
+    expect(lapsedUntil({ ...returned, drainTime: 9000 })).toEqual(12_000);
+  });
+
+  it('are not kept for a host that was cut off itself and missed a departure', () => {
+    // An upstream left 10.6 s before the read; the link had been back for 1.6 s.
+    const cutOff = {
+      ...removals,
+      now: 14_590,
+      previousReadAt: 1000,
+      storeReturnedAt: 14_590,
+    };
+    expect(lapsedUntil({ ...cutOff, failedReadAt: 11_500 })).toEqual(undefined);
+    // With a stability window of 3 s, the departure binds the host from 16 s on.
+    expect(lapsedUntil({ ...cutOff, failedReadAt: 13_000 })).toEqual(15_700);
+  });
+
+  it('are not kept past the drain time of a departure right after the store recovers', () => {
+    // Removed at 12_606, after the read at 12_328 that followed an outage until 11_500.
+    const until = lapsedUntil({
+      ...removals,
+      now: 13_138,
+      previousReadAt: 12_328,
+      failedReadAt: 11_300,
+      storeReturnedAt: 12_328,
+    });
+    expect((until ?? 0) < 12_606 + 2000).toEqual(true);
   });
 
   it('are kept if many are removed at once without a store outage', () => {
@@ -90,4 +120,8 @@
     expect(lapsedUntil({ ...removals, count: 11 })).toEqual(undefined);
     expect(lapsedUntil({ ...removals, count: 2, known: 2 })).toEqual(undefined);
   });
+
+  it('are not kept if others have joined in their place', () => {
+    expect(lapsedUntil({ ...removals, count: 14, joinedCount: 3 })).toEqual(undefined);
+  });
 });
--- a/test/core/placement/choose.test.ts
+++ b/test/core/placement/choose.test.ts
@@ -284,3 +284,28 @@
     expect(failureProbability(PRIOR_BELIEF, 0) > 0.2).toEqual(true);
   });
 });
+
+describe('an upstream whose registration has lapsed', () => {
+  const now = 10_000;
+
+  it('is chosen only if no registered upstream has a free slot', () => {
+    const lapsed = proven('lapsed', now);
+    lapsed.lapse();
+    const busy = stats('busy');
+    const chosen = (): string => {
+      const placement = chooseUpstream([lapsed, busy], request(), context(now));
+      return placement.kind === 'send' ? placement.stats.upstream.id : placement.kind;
+    };
+    expect(chosen()).toEqual('busy');
+    ['r1', 'r2'].forEach((id) => busy.attemptStarted(id, now, now + 1000));
+    expect(chosen()).toEqual('lapsed');
+  });
+
+  it('is chosen like the others once it registers again', () => {
+    const back = proven('back', now);
+    back.lapse();
+    back.register(upstream('back', { reportSequence: 2 }));
+    const placement = chooseUpstream([back, stats('unknown')], request(), context(now));
+    expect(placement.kind === 'send' && placement.stats.upstream.id).toEqual('back');
+  });
+});
