Mend faults listed for the node, the gateway and the command line

- Claims on callers' keys with three nodes: the log's eight connections were held by the long reads of the claim streams, so that appends waited until the call timed out.
- A reply whose body had closed stayed counted as in flight.
- A held call whose caller had left before it was held waited until its deadline.
- A connection in use when its upstream left went back to the pool.
- A gateway whose peer port was taken hung in its start; it ends with the address and the error.
- A route for the host [::1] was not found.
- explain ended with the usage exit code for a log file that it could not read; it is 8 now, with the file's name.

--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -3,7 +3,6 @@
 // meanwhile, and prints the outcomes. Exits with 1 if a booking ran twice, a caller got the answer
 // to another request, a request ran although a reply said not-run, or the download was cut short
 // without an error.
-import { createHash } from 'node:crypto';
 
 import { build } from 'hdr-histogram-js';
 
@@ -16,6 +15,8 @@
   type UpstreamProcess,
 } from '../test/process/harness';
 
+import { isOwnAnswer } from './own-answer';
+
 const MEGABYTE_BYTES = 1024 * 1024;
 const BUNDLE_BYTES = 200 * MEGABYTE_BYTES;
 /** Callers of each kind: those that read and those that book. */
@@ -104,13 +105,6 @@
   if (code !== 0) throw new Error(`publish ${what} exited with ${code}: ${out}`);
 };
 
-/** Tells whether the body is an upstream's answer to a request with this path and body. */
-const isOwnAnswer = (reply: CallerReply, path: string, body: string): boolean => {
-  const answer = JSON.parse(reply.body.toString()) as { path: string; bodyHash: string };
-  const hash = createHash('sha256').update(body).digest('hex');
-  return answer.path === path && answer.bodyHash === hash;
-};
-
 /** Descriptions of the violated guarantees. */
 const violations: string[] = [];
 const latenciesMs = build();
@@ -128,7 +122,7 @@
   lastSeat += 1;
   const path = `/bookings/seat-${lastSeat}`;
   const reply = await recordLatency(caller.send(path));
-  if (reply.outcome === 'done' && reply.status === 200 && !isOwnAnswer(reply, path, '')) {
+  if (reply.outcome === 'done' && reply.status === 200 && !isOwnAnswer(reply.body, path, '')) {
     violations.push(`the read of ${path} got the answer to another request`);
   }
   return reply;
@@ -182,7 +176,7 @@
     if (
       reply.outcome === 'done' &&
       reply.status === 200 &&
-      !isOwnAnswer(reply, '/bookings', body)
+      !isOwnAnswer(reply.body, '/bookings', body)
     ) {
       violations.push(`key ${key} got the answer to another request`);
     }
--- a/src/adapters/platform-log-http.ts
+++ b/src/adapters/platform-log-http.ts
@@ -6,7 +6,8 @@
 
 import { exchangeJson, type ExchangeError, type JsonAnswer } from './json-http';
 
-const MAX_SOCKETS = 8;
+/** Maximum number of connections for appends. */
+const MAX_APPEND_SOCKETS = 8;
 const OK_STATUS = 200;
 const GONE_STATUS = 410;
 const MIN_CLIENT_ERROR_STATUS = 400;
@@ -59,7 +60,13 @@
  * retried.
  */
 export class HttpPlatformLog implements PlatformLog {
-  private readonly agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS });
+  private readonly appendAgent = new Agent({ keepAlive: true, maxSockets: MAX_APPEND_SOCKETS });
+
+  /**
+   * Connections for reads, which wait at the log; not limited, since each stream has one read at a
+   * time and a read without a connection would delay its stream.
+   */
+  private readonly readAgent = new Agent({ keepAlive: true });
 
   constructor(private readonly options: PlatformLogOptions) {}
 
@@ -73,7 +80,7 @@
       method: 'POST',
       body: { value },
       timeout: Math.max(1, deadline - this.options.clock.now()),
-      agent: this.agent,
+      agent: this.appendAgent,
     });
     return answer.mapLeft(appendError).chain(offsetOf);
   }
@@ -84,14 +91,15 @@
       url: `${this.urlOf(stream)}?from=${from}&waitMs=${wait}`,
       method: 'GET',
       timeout: wait + this.options.timeout,
-      agent: this.agent,
+      agent: this.readAgent,
     });
     return answer.mapLeft(readError).chain(batchOf);
   }
 
   /** Closes the connections. */
   close(): void {
-    this.agent.destroy();
+    this.appendAgent.destroy();
+    this.readAgent.destroy();
   }
 
   private urlOf(stream: string): string {
--- a/src/cli/cli-error.ts
+++ b/src/cli/cli-error.ts
@@ -6,6 +6,7 @@
 export type CliError =
   | { readonly kind: 'usage'; readonly message: string }
   | { readonly kind: 'file-refused'; readonly error: TomlError }
+  | { readonly kind: 'file-unreadable'; readonly file: string; readonly detail: string }
   | { readonly kind: 'publish-failed'; readonly error: PublishError }
   | { readonly kind: 'node-unreachable'; readonly url: string }
   | { readonly kind: 'node-refused'; readonly url: string; readonly status: number }
@@ -21,6 +22,7 @@
   conflict: 5,
   unsure: 6,
   configLost: 7,
+  fileUnreadable: 8,
 } as const;
 
 const describePublishError = (err: PublishError): string => {
@@ -45,6 +47,8 @@
       return `usage: ${err.message}`;
     case 'file-refused':
       return describeTomlError(err.error);
+    case 'file-unreadable':
+      return `file-unreadable: ${err.file}: ${err.detail}`;
     case 'publish-failed':
       return `${err.error.kind}: ${describePublishError(err.error)}`;
     case 'node-unreachable':
@@ -80,6 +84,8 @@
       return EXIT.usage;
     case 'file-refused':
       return EXIT.fileRefused;
+    case 'file-unreadable':
+      return EXIT.fileUnreadable;
     case 'publish-failed':
       return publishExitCode(err.error);
     case 'node-unreachable':
--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -1,6 +1,6 @@
 import { createReadStream } from 'node:fs';
 import { createInterface } from 'node:readline';
-import { Left, Right, type Either } from 'purify-ts';
+import { Either, Left, Right } from 'purify-ts';
 
 import { isFiniteNumber, isObject, isString, type UnknownObject } from '../model';
 
@@ -110,13 +110,18 @@
   return [...eventLines, `cause: ${causeOf(request, attempts)}`];
 };
 
-const readLogLines = async (file: string): Promise<readonly LogLine[]> => {
+const readLogLines = async (file: string): Promise<Either<CliError, readonly LogLine[]>> => {
   const lines: LogLine[] = [];
-  for await (const text of createInterface({ input: createReadStream(file) })) {
-    const line = parseLogLine(text, file);
-    if (line) lines.push(line);
+  try {
+    for await (const text of createInterface({ input: createReadStream(file) })) {
+      const line = parseLogLine(text, file);
+      if (line) lines.push(line);
+    }
+    return Right(lines);
+  } catch (err) {
+    const detail = err instanceof Error ? err.message : String(err);
+    return Left({ kind: 'file-unreadable', file, detail });
   }
-  return lines;
 };
 
 /** Runs `explain REQUEST-ID LOG...`: explains a request's outcome from log files. */
@@ -127,12 +132,9 @@
   if (requestId === '' || files.length === 0) {
     return Left({ kind: 'usage', message: 'explain REQUEST-ID LOG...' });
   }
-  try {
-    const lines = (await Promise.all(files.map(readLogLines))).flat();
-    const explanation = explainRequest(lines, requestId);
-    return Right({ value: { request: requestId, lines: explanation }, lines: explanation });
-  } catch (err) {
-    const message = err instanceof Error ? err.message : String(err);
-    return Left({ kind: 'usage', message: `can't read a log file: ${message}` });
-  }
+  const read = Either.sequence(await Promise.all(files.map(readLogLines)));
+  return read.map((lines) => {
+    const explanation = explainRequest(lines.flat(), requestId);
+    return { value: { request: requestId, lines: explanation }, lines: explanation };
+  });
 };
--- a/src/core/gateway/routes.ts
+++ b/src/core/gateway/routes.ts
@@ -1,5 +1,8 @@
 import type { GatewayConfig, GatewayRoute, ServiceName } from '../../model';
 
+/** A port at the end of a host; the colons of an IPv6 address stand in brackets before it. */
+const PORT_PATTERN = /:\d*$/;
+
 const byLongestPrefix = (a: GatewayRoute, b: GatewayRoute): number =>
   b.pathPrefix.length - a.pathPrefix.length;
 
@@ -15,8 +18,7 @@
 
   /** Returns the matching route, if any. `host` may include a port, and `path` a query. */
   find(host: string, path: string): GatewayRoute | undefined {
-    const colon = host.lastIndexOf(':');
-    const name = (colon < 0 ? host : host.slice(0, colon)).toLowerCase();
+    const name = host.replace(PORT_PATTERN, '').toLowerCase();
     return this.hosts.get(name)?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
   }
 }
--- a/src/gateway/connection-pool.ts
+++ b/src/gateway/connection-pool.ts
@@ -35,8 +35,8 @@
   /** Idle connections by key, the most recently used last. */
   private readonly idle = new Map<string, UpstreamConnection[]>();
 
-  /** All connections, idle or in use. */
-  private readonly open = new Set<UpstreamConnection>();
+  /** The keys of all connections, idle or in use. */
+  private readonly open = new Map<UpstreamConnection, string>();
 
   private readonly idleLimit = new IdleConnectionLimit();
 
@@ -62,16 +62,19 @@
     return result;
   }
 
-  /** Closes the idle connections of an upstream that has left; those in use carry on. */
+  /** Closes the connections of an upstream that has left; those in use at their next answer. */
   forget(upstream: GatewayUpstream): void {
     const key = keyOf(upstream);
     const idle = this.idle.get(key) ?? [];
     this.idle.delete(key);
     idle.forEach((connection) => connection.close());
+    this.open.forEach((openKey, connection) => {
+      if (openKey === key) connection.retire();
+    });
   }
 
   close(): void {
-    this.open.forEach((connection) => connection.close());
+    this.open.forEach((_key, connection) => connection.close());
   }
 
   private connect(key: string, endpoint: Endpoint): UpstreamConnection {
@@ -94,7 +97,7 @@
         if (list?.length === 0) this.idle.delete(key);
       },
     );
-    this.open.add(connection);
+    this.open.set(connection, key);
     return connection;
   }
 
--- a/src/gateway/peer-link.ts
+++ b/src/gateway/peer-link.ts
@@ -45,10 +45,16 @@
     this.socket.on('error', (err) => telemetry.event('peer-link-error', { error: err.message }));
   }
 
-  /** Binds the socket; resolves when it is bound. */
+  /** Binds the socket; rejects if the port can't be bound. */
   listen({ address, port }: Endpoint): Promise<void> {
-    return new Promise((resolve) => {
-      this.socket.bind(port, address, resolve);
+    return new Promise((resolve, reject) => {
+      const onError = (err: NodeJS.ErrnoException): void =>
+        reject(new Error(`can't listen on ${address}:${port}: ${err.code ?? err.message}`));
+      this.socket.once('error', onError);
+      this.socket.bind(port, address, () => {
+        this.socket.off('error', onError);
+        resolve();
+      });
     });
   }
 
--- a/src/gateway/upstream-connection.ts
+++ b/src/gateway/upstream-connection.ts
@@ -169,6 +169,11 @@
     });
   }
 
+  /** Closes the connection at the end of its current exchange. */
+  retire(): void {
+    this.unusable = true;
+  }
+
   close(): void {
     this.unusable = true;
     this.socket.destroy();
--- a/src/tasks/held-calls.ts
+++ b/src/tasks/held-calls.ts
@@ -112,7 +112,8 @@
     const callId = `${this.holdCount}`;
     const reply = new Promise<Reply>((resolve) => {
       const leave = (): void => onLeave(callId);
-      const timer = setTimeout(leave, Math.max(0, call.deadline - this.clock.now()));
+      const wait = signal.aborted ? 0 : Math.max(0, call.deadline - this.clock.now());
+      const timer = setTimeout(leave, wait);
       signal.addEventListener('abort', leave, { once: true });
       const answer = (given: Reply): void => {
         clearTimeout(timer);
--- a/src/tasks/in-flight.ts
+++ b/src/tasks/in-flight.ts
@@ -17,7 +17,7 @@
       this.calls += 1;
       try {
         const reply = await handler(call, body, signal);
-        if (reply.kind === 'refused') this.end();
+        if (reply.kind === 'refused' || reply.body.closed) this.end();
         else reply.body.once('close', () => this.end());
         return reply;
       } catch (err) {
--- a/test/adapters/platform-log-http.test.ts
+++ b/test/adapters/platform-log-http.test.ts
@@ -79,6 +79,18 @@
     expect((await failing.append('config', 'x', soonDeadline())).extract()).toEqual(unsure);
   });
 
+  it('appends while long reads of many streams are waiting', async () => {
+    const url = await serve((req, res) => {
+      req.resume().on('end', () => {
+        if (req.method === 'POST') res.writeHead(200).end('{"offset":4}');
+      });
+    });
+    const log = logAt(url);
+    const reads = Array.from({ length: 64 }, (_, i) => log.read(`claims-${i}`, 0, soonDeadline()));
+    expect((await log.append('claims-0', 'x', soonDeadline())).extract()).toEqual(4);
+    await Promise.all(reads);
+  });
+
   const badReads: readonly (readonly [number, string, string])[] = [
     [410, '{"first":7}', 'log-trimmed'],
     [410, '{}', 'log-unavailable'],
--- a/test/cli/cli.test.ts
+++ b/test/cli/cli.test.ts
@@ -61,6 +61,13 @@
   const publish = (...args: readonly string[]): Promise<CommandRun> =>
     run('publish', ...args, '--log', server?.url ?? '');
 
+  it('explain reports a log file that it cannot read with an exit code of its own', async () => {
+    const missing = join(dir, 'missing.log');
+    const { code, err } = await run('explain', 'r1', missing);
+    expect(code).toEqual(EXIT.fileUnreadable);
+    expect(err.includes(`file-unreadable: ${missing}`)).toEqual(true);
+  });
+
   it('publishes an inventory and rules, and reports a file without changes', async () => {
     expect(await publish('inventory', inventory)).toEqual({
       code: EXIT.ok,
--- a/test/core/gateway/gateway.test.ts
+++ b/test/core/gateway/gateway.test.ts
@@ -44,6 +44,16 @@
     expect(routes.find('other.example', '/a/')).toEqual(undefined);
   });
 
+  it('are found for an IPv6 address, with and without a port', () => {
+    const named = config([route('/')]);
+    const ipv6 = new HostRoutes({
+      ...named,
+      hosts: new Map([['[::1]', [route('/')]]]),
+    });
+    expect(ipv6.find('[::1]', '/')?.name).toEqual('/');
+    expect(ipv6.find('[::1]:8080', '/')?.name).toEqual('/');
+  });
+
   it('distribute requests to their targets by weight over any long sequence', () => {
     const roundRobin = new WeightedRoundRobin();
     const split = route('/', {
--- /dev/null
+++ b/test/gateway/connection-pool.test.ts
@@ -0,0 +1,74 @@
+import { expect } from 'earl';
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { after, before, describe, it } from 'node:test';
+
+import { ConnectionPool } from '../../src/gateway/connection-pool';
+import type { GatewayUpstream } from '../../src/model';
+
+const ID_HEADER = 'x-request-id';
+const clock = { now: () => performance.now(), wall: () => 0 };
+
+describe('the pool of connections to upstreams', () => {
+  let server: Server;
+  let connections = 0;
+  /** Answers the request that waits at the upstream. */
+  let answer: () => void = () => {};
+  let arrived: Promise<void>;
+
+  before(async () => {
+    server = createServer((_req, res) => {
+      answer = () => res.end('ok');
+    });
+    server.on('connection', () => {
+      connections += 1;
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+  });
+  after(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+
+  it('closes a connection in use at its end if its upstream has left meanwhile', async () => {
+    const pool = new ConnectionPool(ID_HEADER, clock);
+    const { port } = server.address() as AddressInfo;
+    const upstream: GatewayUpstream = {
+      id: 'u',
+      service: 's',
+      endpoint: { address: '127.0.0.1', port },
+      dataCentre: 'a',
+      slots: 2,
+      state: 'ready',
+      born: 1,
+      reportSequence: 1,
+      warmedUpAt: 0,
+    };
+    const run = (): Promise<unknown> => {
+      arrived = new Promise((resolve) => {
+        server.once('request', () => resolve());
+      });
+      return pool.run(upstream, {
+        requestId: undefined,
+        method: 'GET',
+        bytes: () => Buffer.from('GET / HTTP/1.1\r\nhost: u\r\n\r\n'),
+        deadline: clock.now() + 5000,
+        signal: new AbortController().signal,
+        idempotent: true,
+      });
+    };
+    const first = run();
+    await arrived;
+    pool.forget(upstream);
+    answer();
+    await first;
+    const second = run();
+    await arrived;
+    answer();
+    await second;
+    expect(connections).toEqual(2);
+    pool.close();
+  });
+});
--- a/test/process/at-most-once.test.ts
+++ b/test/process/at-most-once.test.ts
@@ -121,6 +121,20 @@
       await expectAtMostOneRun(fleet, postings.flat());
     }));
 
+  it('under keys that callers choose, all of which three nodes answer', () =>
+    withHarness(async (harness) => {
+      const fleet = await startBookingsFleet(harness);
+      const [caller] = callersOf(fleet);
+      if (!caller) throw new Error('no caller');
+      const postings = await bookAtEveryNode(fleet, caller, (_caller, i) =>
+        Promise.resolve(`own-${i}`),
+      );
+      caller.close();
+      await expectAtMostOneRun(fleet, postings);
+      const done = postings.filter(({ replies }) => replies.some((one) => one.outcome === 'done'));
+      expect(done.length).toEqual(BOOKINGS_PER_CALLER_COUNT);
+    }));
+
   it('under homed keys, during an outage of the log', () =>
     withHarness(async (harness) => {
       const fleet = await startBookingsFleet(harness);
