Probe mostly near nodes in a large fleet

Every node is still probed about five times a second; the far probes carry gossip and feed positions between data centres.

--- a/src/core/membership/membership-view.ts
+++ b/src/core/membership/membership-view.ts
@@ -187,7 +187,9 @@
     this.suspected.delete(node.incarnation);
     this.roster.put(state === 'dead' ? { ...entry, forgetAt: now + DEAD_RETENTION_MS } : entry);
     const wasLive = known && known.state !== 'dead';
-    if (!wasLive && state !== 'dead') this.probeOrder.add(node.incarnation);
+    if (!wasLive && state !== 'dead') {
+      this.probeOrder.add(node.incarnation, node.dataCentre === this.self.dataCentre);
+    }
     if (state === 'suspect') this.startSuspicion(entry, update.by, now);
   }
 
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -65,7 +65,7 @@
     private lastTickAt: Instant,
     private readonly rng: RandomGenerator,
   ) {
-    this.probeOrder = new ProbeOrder(rng);
+    this.probeOrder = new ProbeOrder(rng, (near) => this.view.roster.liveOf(self, near));
     this.outbox = new Outbox(self);
     this.view = new MembershipView(self, this.health, this.probeOrder, lastTickAt);
     this.stateExchange = new StateExchange(self, this.view, this.outbox);
@@ -156,7 +156,10 @@
 
   private sendGossip(now: Instant): void {
     this.nextGossipAt = now + timing.GOSSIP_PERIOD_MS;
-    sample(this.view.unsuspectedPeers(), timing.GOSSIP_FANOUT, this.rng).forEach((node) => {
+    const peers = this.view.unsuspectedPeers();
+    const near = peers.filter(({ dataCentre }) => dataCentre === this.self.dataCentre);
+    const targets = new Set([...sample(near, 1, this.rng), ...sample(peers, 1, this.rng)]);
+    targets.forEach((node) => {
       const updates = this.view.updatesFor(undefined);
       if (updates.length === 0) return;
       this.outbox.send(node, { kind: 'gossip', from: this.self.incarnation, updates });
--- a/src/core/membership/prober.ts
+++ b/src/core/membership/prober.ts
@@ -87,10 +87,7 @@
   private startProbe(now: Instant): void {
     this.nextProbeAt = now + this.localHealth.scaleTimeout(timing.PROBE_PERIOD_MS);
     const { roster } = this.view;
-    const target = this.probeOrder.next(
-      () => roster.live().map(({ node }) => node.incarnation),
-      (incarnation) => this.mayProbe(incarnation),
-    );
+    const target = this.probeOrder.next((incarnation) => this.mayProbe(incarnation));
     const entry = target === undefined ? undefined : roster.get(target);
     if (!entry) return;
     const seq = this.probes.start(entry.node, now, (millis) =>
--- a/src/core/membership/roster.ts
+++ b/src/core/membership/roster.ts
@@ -76,6 +76,9 @@
 
   private cachedLive: readonly RosterEntry[] | undefined;
 
+  /** The incarnations of the live entries by whether they are in one node's data centre. */
+  private cachedNear: ReadonlyMap<boolean, readonly Incarnation[]> | undefined;
+
   /** XOR of the entries' digests; equal on nodes that hold the same live members and states. */
   digest = 0;
 
@@ -103,6 +106,7 @@
     this.version += 1;
     this.cachedMembers = undefined;
     this.cachedLive = undefined;
+    this.cachedNear = undefined;
   }
 
   forget({ node }: RosterEntry): void {
@@ -144,6 +148,25 @@
     return this.cachedLive;
   }
 
+  /**
+   * Returns the live incarnations in the data centre of `self`, or in all others, without `self`.
+   * It is always asked for the same node.
+   */
+  liveOf(self: NodeIdentity, near: boolean): readonly Incarnation[] {
+    if (!this.cachedNear) {
+      const peers = this.live().filter(({ node }) => node.incarnation !== self.incarnation);
+      const select = (isNear: boolean): readonly Incarnation[] =>
+        peers
+          .filter(({ node }) => (node.dataCentre === self.dataCentre) === isNear)
+          .map(({ node }) => node.incarnation);
+      this.cachedNear = new Map([
+        [true, select(true)],
+        [false, select(false)],
+      ]);
+    }
+    return this.cachedNear.get(near) ?? [];
+  }
+
   /** Returns all entries as members; the same array and objects until something changes. */
   members(): readonly Member[] {
     this.cachedMembers ??= [...this.membersByIncarnation.values()];
--- a/src/core/membership/timing.ts
+++ b/src/core/membership/timing.ts
@@ -18,8 +18,6 @@
 export const PROCESS_PAUSE_MS: Millis = 400;
 /** Highest local health score; timeouts are multiplied by one more than the score. */
 export const MAX_LOCAL_HEALTH_SCORE = 4;
-/** Number of nodes that a round of gossip goes to. */
-export const GOSSIP_FANOUT = 2;
 /** Least time in milliseconds between two rounds of gossip. */
 export const GOSSIP_PERIOD_MS: Millis = 400;
 /** Highest number of gossiped updates in a message; an `ack` may add its sender's own state. */
