Try again to hedge an attempt at an upstream that hangs

Change: the hedge is tried again after each further mean latency; later tries accept an upstream that is not proven.

--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -44,6 +44,8 @@
 const MIN_WAIT_OBJECTIVE_RATIO = 0.125;
 /** A hedge starts when an attempt has taken this multiple of the mean latency of the route. */
 const HEDGE_LATENCY_RATIO = 2.5;
+/** Time until another try to start a hedge, as a multiple of the mean latency of the route. */
+const HEDGE_RETRY_LATENCY_RATIO = 1;
 /**
  * Retry-After in milliseconds where no upstream is available; the store is read about once a
  * second.
@@ -121,14 +123,7 @@
   private async attemptWithHedge(stats: UpstreamStats, why: string): Promise<AttemptResult> {
     const first = this.startAttempt(stats, why);
     if (!this.mayHedge()) return first.ended;
-    const hedgeDelay = HEDGE_LATENCY_RATIO * this.scheduler.balancer.meanLatency(this.route.name);
-    const slow = new AbortController();
-    const isSlow = await Promise.race([
-      first.ended.then(() => false),
-      sleep(hedgeDelay, true, { signal: slow.signal }).catch(() => false),
-    ]);
-    slow.abort();
-    const second = isSlow ? this.startHedge() : undefined;
+    const second = await this.startHedgeWhenSlow(first);
     if (!second) return first.ended;
     const winner = await Promise.race(
       [first, second].map(async (attempt) => ({
@@ -143,20 +138,47 @@
     return winner.end;
   }
 
+  /**
+   * Starts a hedge as soon as the attempt is slow and a hedge can be started; undefined if the
+   * attempt ends before that. Load pattern: an upstream crashes without closing its connections
+   * while no proven upstream is free or the retry budget is spent, so that a single try at a hedge
+   * would leave the request waiting until its deadline. Later tries accept any upstream.
+   */
+  private async startHedgeWhenSlow(first: RunningAttempt): Promise<RunningAttempt | undefined> {
+    const { balancer } = this.scheduler;
+    const hasEnded = first.ended.then(() => true);
+    let delay = HEDGE_LATENCY_RATIO * balancer.meanLatency(this.route.name);
+    let isFirstTry = true;
+    for (;;) {
+      const timer = new AbortController();
+      const isOver = await Promise.race([
+        hasEnded,
+        sleep(delay, false, { signal: timer.signal }).catch(() => true),
+      ]);
+      timer.abort();
+      if (isOver) return undefined;
+      const hedge = this.startHedge(isFirstTry);
+      if (hedge) return hedge;
+      isFirstTry = false;
+      delay = HEDGE_RETRY_LATENCY_RATIO * balancer.meanLatency(this.route.name);
+    }
+  }
+
   /** Whether a hedge beside the running attempt stays within the attempts that the route allows. */
   private mayHedge(): boolean {
     return this.idempotent && this.runs + 2 <= this.route.maxAttempts;
   }
 
   /**
-   * Starts a hedge; undefined if no upstream proven healthy is free or the retry budget is spent.
+   * Starts a hedge; undefined if no upstream is free, or none proven healthy if `provenOnly`, or if
+   * the retry budget is spent.
    */
-  private startHedge(): RunningAttempt | undefined {
+  private startHedge(provenOnly: boolean): RunningAttempt | undefined {
     const now = this.context.clock.now();
     const placed = this.scheduler.placeNow(this.placementRequest(), this.request.id);
     if (placed?.kind !== 'send') return undefined;
     if (
-      placed.why !== 'proven' ||
+      (provenOnly && placed.why !== 'proven') ||
       !this.scheduler.retryBudget.take(this.context.retryBudgetSharers(this.scheduler.name), now)
     ) {
       this.scheduler.release(placed.stats, this.request.id);
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -143,6 +143,24 @@
     expect(next.every(({ status }) => status === 200)).toEqual(true);
   });
 
+  it('of an upstream that hangs are replaced as soon as another one is free', async () => {
+    const [first, second] = harness.upstreams;
+    if (!first || !second) throw new Error('expected two upstreams');
+    const answerAfterHang = async (id: string): Promise<{ status: number; hung: boolean }> => {
+      Object.assign(first, { mood: 'hangs' });
+      Object.assign(second, { mood: 'hangs' });
+      const answer = harness.request(id, `${SAFE_PATH}x`);
+      await harness.until(() => harness.runsOf(id) > 0);
+      const hung = first.runs.some((run) => run.id === id);
+      const other = hung ? second : first;
+      // No upstream is proven here, so that the first hedge can't start.
+      Object.assign(other, { mood: 'well' });
+      return { status: (await answer).status, hung };
+    };
+    expect((await answerAfterHang('hang')).status).toEqual(200);
+    harness.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'well' }));
+  });
+
   it('with an error status are passed on unchanged', async () => {
     harness.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'fails' }));
     const answer = await harness.request('fails', `${UNSAFE_PATH}x`, { method: 'POST', body: 'b' });
