Read the store's feeds with two gateways a data centre

Change: two members of each data centre, by rendezvous hashing, read at the store and pass pages on as a stream of frames with a beat every 500 ms. A host takes the stream of one of them and stops its own reads. It reads at the store again at once when the stream ends or is silent for 800 ms, when the reader has lost the store, or when a peer's position stays ahead of it for longer than the reader's pause. Readers pause a shorter time after a page than hosts did, so that departures arrive earlier. A page that overlaps what is known is cut to what is new.

--- /dev/null
+++ b/src/core/gateway/feed-history.ts
@@ -0,0 +1,55 @@
+import type { KeyedRecord, PositionedPage } from '../../model';
+
+/** Number of changes that are kept for readers that go on from an earlier position. */
+const MAX_RECENT_COUNT = 1024;
+
+/** The newest record of each key of a feed, and its latest changes. */
+export class FeedHistory {
+  private readonly newest = new Map<string, KeyedRecord>();
+
+  /** The latest changes, in order; the last one is at `position` - 1. */
+  private recent: KeyedRecord[] = [];
+
+  /** The position up to which the feed has been read; -1 before the first page. */
+  private end = -1;
+
+  get position(): number {
+    return this.end;
+  }
+
+  /** Adds a page; one that is behind `position` or leaves a gap to it has no effect. */
+  add({ isSnapshot, items, from, position }: PositionedPage): void {
+    if (isSnapshot) {
+      if (position < this.end) return;
+      this.newest.clear();
+      this.recent = [];
+      items.forEach((record) => this.put(record));
+      this.end = position;
+      return;
+    }
+    if (from > this.end || position <= this.end) return;
+    const added = items.slice(this.end - from);
+    added.forEach((record) => this.put(record));
+    this.recent = [...this.recent, ...added].slice(-MAX_RECENT_COUNT);
+    this.end = position;
+  }
+
+  /**
+   * Returns what follows a position: the changes, or a snapshot if they are no longer kept. Nothing
+   * follows a position that is ahead of this history.
+   */
+  since(position: number): PositionedPage {
+    const missing = this.end - position;
+    if (missing < 0) return { isSnapshot: false, items: [], from: this.end, position: this.end };
+    if (position >= 0 && missing <= this.recent.length) {
+      const items = this.recent.slice(this.recent.length - missing);
+      return { isSnapshot: false, items, from: position, position: this.end };
+    }
+    return { isSnapshot: true, items: [...this.newest.values()], from: 0, position: this.end };
+  }
+
+  private put(record: KeyedRecord): void {
+    if (record.value.length === 0) this.newest.delete(record.key);
+    else this.newest.set(record.key, record);
+  }
+}
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -4,5 +4,7 @@
 export * from './windowed-retry-budget';
 export * from './attempt-outcome';
 export * from './lapsed-registrations';
+export * from './feed-readers';
+export * from './feed-history';
 export * from './host-groups';
 export * from './idle-connection-limit';
--- /dev/null
+++ b/src/gateway/feed-frames.ts
@@ -0,0 +1,83 @@
+/** Frames in which a reader sends the pages of the store's feeds to other gateways. */
+import { Packr } from 'msgpackr';
+
+import { isCount, isString, type KeyedRecord, type PositionedPage } from '../model';
+
+/** The feeds by their number in frames. */
+export const FEEDS = ['config', 'upstreams'] as const;
+export type FeedName = (typeof FEEDS)[number];
+
+/** What a reader sends: a page of a feed, or a sign that it is in contact with the store. */
+export type FeedFrame =
+  | { readonly kind: 'page'; readonly feed: FeedName; readonly page: PositionedPage }
+  | { readonly kind: 'beat' };
+
+const LENGTH_BYTES = 4;
+/** Size in bytes that a frame may not exceed; a page of the store has at most 1 MB of values. */
+const MAX_FRAME_BYTES = 8 * 2 ** 20;
+
+const packr = new Packr({ useRecords: false });
+
+/** Encodes a frame: its length, then `[]` or `[feed, isSnapshot, from, position, records]`. */
+export const encodeFeedFrame = (frame: FeedFrame): Buffer => {
+  const fields =
+    frame.kind === 'beat'
+      ? []
+      : [
+          FEEDS.indexOf(frame.feed),
+          frame.page.isSnapshot,
+          frame.page.from,
+          frame.page.position,
+          frame.page.items.map(({ key, value }) => [key, value]),
+        ];
+  const body = packr.pack(fields);
+  const head = Buffer.alloc(LENGTH_BYTES);
+  head.writeUInt32BE(body.length);
+  return Buffer.concat([head, body]);
+};
+
+const decodeRecord = (value: unknown): readonly KeyedRecord[] => {
+  if (!Array.isArray(value)) return [];
+  const [key, bytes] = value as readonly unknown[];
+  return isString(key) && Buffer.isBuffer(bytes) ? [{ key, value: bytes }] : [];
+};
+
+const decodeBody = (body: Buffer): FeedFrame | undefined => {
+  const fields: unknown = packr.unpack(body);
+  if (!Array.isArray(fields)) return undefined;
+  if (fields.length === 0) return { kind: 'beat' };
+  const [number, isSnapshot, from, position, records] = fields as readonly unknown[];
+  const feed = isCount(number) ? FEEDS[number] : undefined;
+  if (feed === undefined || typeof isSnapshot !== 'boolean') return undefined;
+  if (!isCount(from) || !isCount(position) || !Array.isArray(records)) return undefined;
+  const items = (records as readonly unknown[]).flatMap(decodeRecord);
+  if (items.length !== records.length) return undefined;
+  if (!isSnapshot && position - from !== items.length) return undefined;
+  return { kind: 'page', feed, page: { isSnapshot, items, from, position } };
+};
+
+/** Splits a stream of bytes into frames. */
+export class FeedFrameDecoder {
+  private pending: Buffer = Buffer.alloc(0);
+
+  /** Returns the frames that `chunk` completes; undefined if the stream is malformed. */
+  push(chunk: Buffer): readonly FeedFrame[] | undefined {
+    this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+    const frames: FeedFrame[] = [];
+    while (this.pending.length >= LENGTH_BYTES) {
+      const length = this.pending.readUInt32BE(0);
+      if (length > MAX_FRAME_BYTES) return undefined;
+      if (this.pending.length < LENGTH_BYTES + length) break;
+      const body = this.pending.subarray(LENGTH_BYTES, LENGTH_BYTES + length);
+      this.pending = this.pending.subarray(LENGTH_BYTES + length);
+      try {
+        const frame = decodeBody(body);
+        if (!frame) return undefined;
+        frames.push(frame);
+      } catch {
+        return undefined;
+      }
+    }
+    return frames;
+  }
+}
--- /dev/null
+++ b/src/gateway/feed-relay.ts
@@ -0,0 +1,110 @@
+import http, { type Server, type ServerResponse } from 'node:http';
+
+import { FeedHistory } from '../core/gateway';
+import type { Millis, PositionedPage } from '../model';
+import type { Telemetry } from '../ports';
+
+import { encodeFeedFrame, FEEDS, type FeedName } from './feed-frames';
+
+/** Path of the stream of frames; its last part is the version of the frames. */
+export const FEED_STREAM_PATH = '/feeds/1';
+/** Interval in milliseconds between signs of contact with the store. */
+export const FEED_BEAT_INTERVAL_MS: Millis = 500;
+/** Bytes queued for a subscriber above which it is dropped; it then reads elsewhere. */
+const MAX_QUEUED_BYTES = 4 * 2 ** 20;
+
+const OK = 200;
+const NOT_FOUND = 404;
+const SERVICE_UNAVAILABLE = 503;
+
+/**
+ * Sends the feeds that this gateway reads at the store to other gateways of its data centre, as
+ * streams of frames. Ends the streams as soon as it loses contact with the store.
+ */
+export class FeedRelay {
+  readonly server: Server;
+
+  private readonly histories: Readonly<Record<FeedName, FeedHistory>> = {
+    config: new FeedHistory(),
+    upstreams: new FeedHistory(),
+  };
+
+  private readonly subscribers = new Set<ServerResponse>();
+
+  private beatTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly telemetry: Telemetry,
+    /** Whether this gateway reads both feeds at the store and the store answers. */
+    private readonly isInContact: () => boolean,
+  ) {
+    this.server = http.createServer((req, res) => {
+      req.resume();
+      this.subscribe(new URL(req.url ?? '/', 'http://relay'), res);
+    });
+  }
+
+  /** Number of gateways that read from this one. */
+  get subscriberCount(): number {
+    return this.subscribers.size;
+  }
+
+  /** Adds a page to the history of its feed, and sends it to the subscribers. */
+  publish(feed: FeedName, page: PositionedPage): void {
+    const history = this.histories[feed];
+    const before = history.position;
+    history.add(page);
+    if (history.position > before) this.sendToAll(encodeFeedFrame({ kind: 'page', feed, page }));
+  }
+
+  /** Ends all streams if this gateway may no longer serve them. */
+  review(): void {
+    if (this.subscribers.size > 0 && !this.isInContact()) this.endAll();
+  }
+
+  close(): void {
+    this.endAll();
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private subscribe(url: URL, res: ServerResponse): void {
+    const positions = FEEDS.map((feed) => Number(url.searchParams.get(feed) ?? NaN));
+    const isValid = url.pathname === FEED_STREAM_PATH && positions.every(Number.isSafeInteger);
+    const hasAll = FEEDS.every((feed) => this.histories[feed].position >= 0);
+    if (!isValid || !hasAll || !this.isInContact()) {
+      res.writeHead(isValid ? SERVICE_UNAVAILABLE : NOT_FOUND).end();
+      return;
+    }
+    res.writeHead(OK, { 'content-type': 'application/octet-stream' });
+    FEEDS.forEach((feed, i) => {
+      const page = this.histories[feed].since(positions[i] ?? -1);
+      res.write(encodeFeedFrame({ kind: 'page', feed, page }));
+    });
+    this.subscribers.add(res);
+    this.telemetry.count('feed_subscribers');
+    res.on('close', () => this.subscribers.delete(res));
+    res.on('error', (err) => this.telemetry.event('feed-subscriber-error', { error: err.message }));
+    this.beatTimer ??= setInterval(() => this.beat(), FEED_BEAT_INTERVAL_MS);
+  }
+
+  private beat(): void {
+    this.review();
+    this.sendToAll(encodeFeedFrame({ kind: 'beat' }));
+    if (this.subscribers.size > 0) return;
+    clearInterval(this.beatTimer);
+    this.beatTimer = undefined;
+  }
+
+  private sendToAll(frame: Buffer): void {
+    this.subscribers.forEach((res) => {
+      if (res.writableLength > MAX_QUEUED_BYTES) res.destroy();
+      else res.write(frame);
+    });
+  }
+
+  private endAll(): void {
+    this.subscribers.forEach((res) => res.end());
+    this.subscribers.clear();
+  }
+}
--- /dev/null
+++ b/src/gateway/feed-subscription.ts
@@ -0,0 +1,155 @@
+import http, { type ClientRequest } from 'node:http';
+
+import type { FeedSource } from '../core/gateway';
+import type { Incarnation, Member, Millis, PositionedPage } from '../model';
+import type { Telemetry } from '../ports';
+
+import { FeedFrameDecoder, type FeedFrame, type FeedName } from './feed-frames';
+import { FEED_BEAT_INTERVAL_MS, FEED_STREAM_PATH } from './feed-relay';
+import type { FeedPositions } from './peer-link';
+
+/** Time in milliseconds without a frame after which a reader is taken to have failed. */
+const SILENCE_TIMEOUT_MS: Millis = FEED_BEAT_INTERVAL_MS + 300;
+/** Time in milliseconds after which a reader that failed may be tried again. */
+const RETRY_DELAY_MS: Millis = 1000;
+
+/** Functions that a subscription calls. */
+export interface FeedSubscriber {
+  /** Returns how far this gateway has read the feeds. */
+  positions(): FeedPositions;
+  /** Receives a page; returns whether it could be applied. */
+  onPage(feed: FeedName, page: PositionedPage): boolean;
+  /** Called when a reader begins to send frames, and when it no longer does. */
+  onConnected(): void;
+  onLost(): void;
+}
+
+/** The connection to a reader. */
+interface Connection {
+  readonly reader: Member;
+  readonly req: ClientRequest;
+  readonly timer: NodeJS.Timeout;
+  readonly decoder: FeedFrameDecoder;
+}
+
+/**
+ * Receives the feeds from one of the readers of this data centre. A reader that fails or is silent
+ * is replaced by the next one; while there is none, `onLost` has the gateway read at the store.
+ */
+export class FeedSubscription {
+  private source: FeedSource = { kind: 'store' };
+
+  private connection: Connection | undefined;
+
+  /** Whether a frame has arrived on the connection. */
+  private hasFrame = false;
+
+  /** Readers that failed lately. */
+  private readonly failed = new Set<Incarnation>();
+
+  private closed = false;
+
+  constructor(
+    private readonly telemetry: Telemetry,
+    private readonly subscriber: FeedSubscriber,
+  ) {}
+
+  /** Whether pages come from a reader. */
+  get isConnected(): boolean {
+    return this.connection !== undefined && this.hasFrame;
+  }
+
+  /** Sets where to read; a connection to one of the readers is kept. */
+  setSource(source: FeedSource): void {
+    this.source = source;
+    const current = this.connection?.reader.incarnation;
+    const isKept =
+      source.kind === 'readers' &&
+      source.readers.some(({ incarnation }) => incarnation === current);
+    if (this.connection && !isKept) this.end(this.connection, 'not a reader any more');
+    else this.connect();
+  }
+
+  close(): void {
+    this.closed = true;
+    if (this.connection) this.end(this.connection, 'closed');
+  }
+
+  private connect(): void {
+    if (this.closed || this.connection || this.source.kind === 'store') return;
+    const reader = this.source.readers.find(({ incarnation }) => !this.failed.has(incarnation));
+    if (!reader) return;
+    const [config, upstreams] = this.subscriber.positions();
+    const req = http.get({
+      host: reader.address,
+      port: reader.peerPort,
+      path: `${FEED_STREAM_PATH}?config=${config}&upstreams=${upstreams}`,
+      agent: false,
+    });
+    const connection: Connection = {
+      reader,
+      req,
+      timer: setTimeout(() => this.fail(connection, 'silent'), SILENCE_TIMEOUT_MS),
+      decoder: new FeedFrameDecoder(),
+    };
+    this.connection = connection;
+    this.hasFrame = false;
+    req.on('response', (res) => {
+      if (res.statusCode !== 200) {
+        this.fail(connection, `status ${res.statusCode}`);
+        return;
+      }
+      res.on('data', (chunk: Buffer) => this.onData(connection, chunk));
+      res.on('error', (err) => this.fail(connection, err.message));
+      res.on('end', () => this.fail(connection, 'ended'));
+    });
+    req.on('error', (err) => this.fail(connection, err.message));
+  }
+
+  private onData(connection: Connection, chunk: Buffer): void {
+    if (this.connection !== connection) return;
+    connection.timer.refresh();
+    const frames = connection.decoder.push(chunk);
+    if (!frames?.every((frame) => this.onFrame(frame))) {
+      this.fail(connection, frames ? 'page out of order' : 'malformed frame');
+      return;
+    }
+    if (this.hasFrame || frames.length === 0) return;
+    this.hasFrame = true;
+    this.telemetry.event('feed-reader-connected', { reader: connection.reader.address });
+    this.subscriber.onConnected();
+  }
+
+  private onFrame(frame: FeedFrame): boolean {
+    switch (frame.kind) {
+      case 'beat':
+        return true;
+      case 'page':
+        return this.subscriber.onPage(frame.feed, frame.page);
+    }
+  }
+
+  private fail(connection: Connection, reason: string): void {
+    if (this.connection !== connection) return;
+    const { incarnation } = connection.reader;
+    this.failed.add(incarnation);
+    setTimeout(() => {
+      this.failed.delete(incarnation);
+      this.connect();
+    }, RETRY_DELAY_MS).unref();
+    this.end(connection, reason);
+  }
+
+  /** Ends a connection, and connects to the next reader, if any. */
+  private end(connection: Connection, reason: string): void {
+    clearTimeout(connection.timer);
+    this.connection = undefined;
+    connection.req.destroy();
+    if (this.hasFrame) {
+      const { address } = connection.reader;
+      this.telemetry.event('feed-reader-lost', { reader: address, reason });
+      this.subscriber.onLost();
+    }
+    this.connect();
+  }
+}
--- /dev/null
+++ b/src/gateway/feeds.ts
@@ -0,0 +1,184 @@
+import type { Server } from 'node:http';
+
+import { feedSourceOf } from '../core/gateway';
+import type { Incarnation, Member, Millis, FeedPage, KeyedRecord, PositionedPage } from '../model';
+import type { Feed } from '../ports';
+
+import type { GatewayContext } from './context';
+import type { FeedName } from './feed-frames';
+import { FeedRelay } from './feed-relay';
+import { FeedSubscription } from './feed-subscription';
+import { Follower, type ReadTiming } from './follower';
+import type { FeedPositions } from './peer-link';
+
+/**
+ * Bounds in milliseconds of the time that a long-poll read waits at the store for new items. A hung
+ * read is detected only after this wait. The wait is drawn at random for each read, so that of many
+ * gateways with hung reads one detects it early and its peers learn of the new position from it.
+ */
+const MIN_LONG_POLL_MS: Millis = 3000;
+const MAX_LONG_POLL_MS: Millis = 28_000;
+/** The upper bound while other gateways depend on the reads. */
+const MAX_READER_LONG_POLL_MS: Millis = 6000;
+/**
+ * Pause after a read with new items, as a ratio of the time within which departures of upstreams
+ * and new configurations must take effect; the rest is for the read itself and for requests in
+ * flight.
+ */
+const BATCH_PAUSE_RATIO = 0.4;
+/**
+ * The same after the first read, in which time a reader is usually found that passes the next pages
+ * on.
+ */
+const FIRST_BATCH_PAUSE_RATIO = 0.6;
+/**
+ * The same while other gateways depend on the reads. A gateway that reads from another one is
+ * behind its peers by this pause at most.
+ */
+const READER_BATCH_PAUSE_RATIO = 0.15;
+/**
+ * Time in milliseconds in which the waiting read should bring what a peer has already read; after
+ * it the read is taken to hang.
+ */
+const PEER_GRACE_MS: Millis = 300;
+
+/** Receivers of the pages, and the sources at the store. */
+export interface FeedsService {
+  readonly configFeed: Feed<KeyedRecord>;
+  readonly upstreamFeed: Feed<KeyedRecord>;
+  onConfig(page: FeedPage<KeyedRecord>): void;
+  onUpstreams(page: FeedPage<KeyedRecord>, timing: ReadTiming): void;
+}
+
+/**
+ * Follows the store's feeds of the configuration and of the upstreams. A few gateways of each data
+ * centre read at the store and pass the pages on to the others, which read for themselves as soon
+ * as no page or sign of contact arrives, or a peer is ahead of them.
+ */
+export class Feeds {
+  private readonly relay: FeedRelay;
+
+  private readonly subscription: FeedSubscription;
+
+  private readonly followers: Readonly<Record<FeedName, Follower<KeyedRecord>>>;
+
+  /** Whether other members are known. */
+  private hasMembers = false;
+
+  /** Whether this gateway reads at the store by its place among the members. */
+  private readsAtStore = true;
+
+  constructor(
+    private readonly context: GatewayContext,
+    service: FeedsService,
+  ) {
+    const { telemetry } = context;
+    this.relay = new FeedRelay(telemetry, () => this.isInContact);
+    const follow = (
+      name: FeedName,
+      feed: Feed<KeyedRecord>,
+      onPage: (page: PositionedPage, timing: ReadTiming) => void,
+    ): Follower<KeyedRecord> =>
+      new Follower({
+        name,
+        feed,
+        clock: context.clock,
+        telemetry,
+        longPoll: () => this.longPoll(),
+        batchPause: () => this.batchPause(),
+        peerGrace: () => this.peerGrace(),
+        onPage: (page, timing) => {
+          this.relay.publish(name, page);
+          onPage(page, timing);
+        },
+      });
+    this.followers = {
+      config: follow('config', service.configFeed, (page) => service.onConfig(page)),
+      upstreams: follow('upstreams', service.upstreamFeed, (page, timing) =>
+        service.onUpstreams(page, timing),
+      ),
+    };
+    this.subscription = new FeedSubscription(telemetry, {
+      positions: () => this.positions,
+      onPage: (feed, page) => this.followers[feed].onRelayedPage(page),
+      onConnected: () => this.setRelayed(true),
+      onLost: () => this.setRelayed(false),
+    });
+  }
+
+  /** The server from which other gateways read the feeds. */
+  get server(): Server {
+    return this.relay.server;
+  }
+
+  /** How far this gateway has read the feeds. */
+  get positions(): FeedPositions {
+    const { config, upstreams } = this.followers;
+    return [config.readPosition, upstreams.readPosition];
+  }
+
+  /** Returns the milliseconds since the last page of the upstreams; -1 before the first. */
+  upstreamsAge(): Millis {
+    return this.followers.upstreams.age(this.context.clock.now());
+  }
+
+  start(): void {
+    void this.followers.config.follow();
+    void this.followers.upstreams.follow();
+  }
+
+  /** Takes in how far a peer has read the feeds. */
+  onPeerPositions([config, upstreams]: FeedPositions): void {
+    this.followers.config.onPeerPosition(config);
+    this.followers.upstreams.onPeerPosition(upstreams);
+  }
+
+  /** Determines again where to read, after a change of the members. */
+  onMembers(self: Incarnation, members: readonly Member[]): void {
+    const source = feedSourceOf(self, this.context.settings.dataCentre, members);
+    this.hasMembers = members.length > 1;
+    this.readsAtStore = source.kind === 'store';
+    this.subscription.setSource(source);
+    this.relay.review();
+  }
+
+  close(): void {
+    this.subscription.close();
+    this.relay.close();
+    this.followers.config.close();
+    this.followers.upstreams.close();
+  }
+
+  /** Whether this gateway reads both feeds at the store, and the store answers. */
+  private get isInContact(): boolean {
+    const { config, upstreams } = this.followers;
+    const isReading = this.readsAtStore && !this.subscription.isConnected;
+    return isReading && config.isInContact && upstreams.isInContact;
+  }
+
+  private setRelayed(isRelayed: boolean): void {
+    this.followers.config.setRelayed(isRelayed);
+    this.followers.upstreams.setRelayed(isRelayed);
+  }
+
+  private longPoll(): Millis {
+    const longest = this.relay.subscriberCount > 0 ? MAX_READER_LONG_POLL_MS : MAX_LONG_POLL_MS;
+    return MIN_LONG_POLL_MS + this.context.random() * (longest - MIN_LONG_POLL_MS);
+  }
+
+  private batchPause(): Millis {
+    if (this.relay.subscriberCount > 0) return READER_BATCH_PAUSE_RATIO * this.bound;
+    return (this.hasMembers ? BATCH_PAUSE_RATIO : FIRST_BATCH_PAUSE_RATIO) * this.bound;
+  }
+
+  private peerGrace(): Millis {
+    if (!this.subscription.isConnected) return PEER_GRACE_MS;
+    return PEER_GRACE_MS + READER_BATCH_PAUSE_RATIO * this.bound;
+  }
+
+  /** The shorter of the times within which changes of the feeds must take effect. */
+  private get bound(): Millis {
+    const { drainTime, configApplyTime } = this.context.settings.bounds;
+    return Math.min(drainTime, configApplyTime);
+  }
+}
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -24,6 +24,8 @@
   feedPositions(): FeedPositions;
   /** Takes in how far a peer has read the feeds. */
   onPeerPositions(positions: FeedPositions): void;
+  /** Receives the members when they have changed; `self` is this gateway's incarnation. */
+  onMembers(self: Incarnation, members: readonly Member[]): void;
   /** Returns the groups of hosts with the same owners; undefined until a configuration is known. */
   hostGroups(): HostGroups | undefined;
   /** Returns the schedulers in use, by service name. */
@@ -51,6 +53,9 @@
 
   private readonly outbox: ObservationOutbox;
 
+  /** Identifies this run of the process. */
+  private readonly incarnation: Incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
+
   private members: readonly Member[] = [];
 
   /** Data centres that have at least one member. */
@@ -79,7 +84,7 @@
     });
     this.membership = Membership.start(
       {
-        incarnation: randomBytes(INCARNATION_BYTES).toString('hex'),
+        incarnation: this.incarnation,
         dataCentre: settings.dataCentre,
         capacity: capacityOf(settings.limits),
         address: settings.listen.callers.address,
@@ -290,6 +295,7 @@
           this.members = effect.members;
           this.dataCentres = [...new Set(this.members.map(({ dataCentre }) => dataCentre))];
           this.recomputeOwners();
+          this.service.onMembers(this.incarnation, this.members);
       }
     });
   }
--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -1,15 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import type { Instant, Millis } from '../model';
-import type { Clock, Feed, FeedFault, FeedPage, Telemetry } from '../ports';
+import type { Instant, Millis, FeedPage, PositionedPage } from '../model';
+import type { Clock, Feed, FeedFault, Telemetry } from '../ports';
 
-/**
- * Bounds in milliseconds of the time that a long-poll read waits at the store for new items. A hung
- * read is detected only after this wait. The wait is drawn at random for each read, so that of many
- * gateways with hung reads one detects it early and its peers learn of the new position from it.
- */
-const MIN_LONG_POLL_MS: Millis = 3000;
-const MAX_LONG_POLL_MS: Millis = 28_000;
 /**
  * Time in milliseconds allowed for a read in addition to its wait; the store answers within a few
  * ms.
@@ -22,12 +15,6 @@
  * known after the store has returned.
  */
 const MAX_RETRY_DELAY_MS: Millis = 1000;
-/**
- * Time in milliseconds in which the waiting read should bring what a peer has already read; after
- * it the read is taken to hang.
- */
-const PEER_GRACE_MS: Millis = 300;
-
 /**
  * Returns the delay before the next read after `failures` failed reads in a row (at least 1). It
  * grows because an overloaded store refuses all gateways, and a refusal costs it as much as an
@@ -55,9 +42,30 @@
   storeReturnedAt: Number.NEGATIVE_INFINITY,
 };
 
+/** What a follower reads, and how. */
+export interface FollowerOptions<T> {
+  /** The name of the feed in log lines and metrics. */
+  readonly name: string;
+  readonly feed: Feed<T>;
+  readonly clock: Clock;
+  readonly telemetry: Telemetry;
+  /** Returns the time for which the next read waits at the store for new items. */
+  longPoll(): Millis;
+  /** Returns the pause after new items, which batches several changes into one read. */
+  batchPause(): Millis;
+  /**
+   * Returns the time within which what a peer has already read should arrive here; after it the
+   * read, or the reader that passes pages on, is taken to hang.
+   */
+  peerGrace(): Millis;
+  /** Receives each page that was read, without items that an earlier page had. */
+  onPage(page: PositionedPage<T>, timing: ReadTiming): void;
+}
+
 /**
- * Follows a feed of the store by long-poll reads. A read may hang on a connection that no longer
- * delivers bytes; the positions that peers report reveal this, and the follower then reads again.
+ * Follows a feed of the store by long-poll reads, or takes the pages that another gateway has read.
+ * A read may hang on a connection that no longer delivers bytes; the positions that peers report
+ * reveal this, and the follower then reads again.
  */
 export class Follower<T> {
   /** Position to read on from; undefined when the whole feed has to be read. */
@@ -77,25 +85,26 @@
   /** Whether the follower pauses between reads; the next read then brings all new items. */
   private isPausing = false;
 
+  /** Whether another gateway passes the pages on. */
+  private isRelayed = false;
+
+  /** Continues the reads that stopped while another gateway passed the pages on. */
+  private resume: (() => void) | undefined;
+
   private closed = false;
 
-  constructor(
-    private readonly name: string,
-    private readonly feed: Feed<T>,
-    private readonly clock: Clock,
-    private readonly telemetry: Telemetry,
-    private readonly random: () => number,
-    /** Returns the pause after new items, which batches several changes into one read. */
-    private readonly batchPause: () => Millis,
-    /** Receives each page that was read. */
-    private readonly onPage: (page: FeedPage<T>, timing: ReadTiming) => void,
-  ) {}
+  constructor(private readonly options: FollowerOptions<T>) {}
 
   /** The highest position read so far; -1 before the first successful read. */
   get readPosition(): number {
     return this.furthestPosition;
   }
 
+  /** Whether the last read succeeded. */
+  get isInContact(): boolean {
+    return this.furthestPosition >= 0 && this.failures === 0;
+  }
+
   /** Returns the milliseconds since the last successful read; -1 before the first. */
   age(now: Instant): Millis {
     return this.furthestPosition < 0 ? -1 : now - this.timing.readAt;
@@ -104,18 +113,40 @@
   /** Reads the feed until the follower is closed. */
   async follow(): Promise<void> {
     while (!this.closed) {
+      if (this.isRelayed) {
+        await new Promise<void>((resolve) => {
+          this.resume = resolve;
+        });
+        this.resume = undefined;
+      }
       const before = this.furthestPosition;
-      await this.read(MIN_LONG_POLL_MS + this.random() * (MAX_LONG_POLL_MS - MIN_LONG_POLL_MS));
+      await this.read(this.options.longPoll());
       if (this.failures > 0) await this.pause(retryDelay(this.failures));
-      else if (this.furthestPosition > before) await this.pause(this.batchPause());
+      else if (this.furthestPosition > before) await this.pause(this.options.batchPause());
     }
   }
 
+  /** Stops the reads while another gateway passes the pages on; reads at once afterwards. */
+  setRelayed(isRelayed: boolean): void {
+    if (this.isRelayed === isRelayed) return;
+    this.isRelayed = isRelayed;
+    if (isRelayed || this.closed) return;
+    if (this.resume) this.resume();
+    else void this.read(0);
+  }
+
+  /** Takes a page that another gateway has read; returns false if it leaves a gap. */
+  onRelayedPage(page: PositionedPage<T>): boolean {
+    if (!page.isSnapshot && page.from > this.furthestPosition) return false;
+    if (page.position >= this.furthestPosition) this.onRead(page);
+    return true;
+  }
+
   /** Takes in how far a peer has read; reads at once if the own read seems to hang. */
   onPeerPosition(position: number): void {
     if (position <= this.furthestPosition || this.pendingPeerPosition !== undefined) return;
     this.pendingPeerPosition = position;
-    void sleep(PEER_GRACE_MS).then(async () => {
+    void sleep(this.options.peerGrace()).then(async () => {
       const isBehind = position > this.furthestPosition && !this.isPausing;
       if (!this.closed && isBehind) await this.read(0);
       this.pendingPeerPosition = undefined;
@@ -124,6 +155,7 @@
 
   close(): void {
     this.closed = true;
+    this.resume?.();
   }
 
   private async pause(millis: Millis): Promise<void> {
@@ -133,45 +165,56 @@
   }
 
   private async read(wait: Millis): Promise<void> {
-    const startedAt = this.clock.now();
+    const { clock, feed } = this.options;
+    const startedAt = clock.now();
     const deadline = startedAt + wait + READ_TIMEOUT_MS;
     const { position } = this;
     const page =
       position === undefined
-        ? await this.feed.readSnapshot(deadline)
-        : await this.feed.readSince(position, wait, deadline);
+        ? await feed.readSnapshot(deadline)
+        : await feed.readSince(position, wait, deadline);
     if (this.closed) return;
     page.caseOf({
       Left: (fault) => this.onFault(fault, startedAt),
-      Right: (read) => this.onRead(read, startedAt),
+      Right: (read) => this.onStoreRead(read, position ?? 0, startedAt),
     });
   }
 
-  private onRead(page: FeedPage<T>, startedAt: Instant): void {
+  private onStoreRead(page: FeedPage<T>, from: number, startedAt: Instant): void {
     if (page.isSnapshot && page.position < this.furthestPosition) {
       const detail = 'snapshot is older than the position already read';
       this.onFault({ kind: 'malformed', detail }, startedAt);
       return;
     }
-    const now = this.clock.now();
+    this.onRead({ ...page, from });
+  }
+
+  private onRead(page: PositionedPage<T>): void {
+    const { name, clock, telemetry } = this.options;
+    const now = clock.now();
     this.timing = { ...this.timing, readAt: now, previousReadAt: this.timing.readAt };
     if (this.failures > 0) {
-      this.telemetry.event('feed-regained', { feed: this.name, failures: this.failures });
+      telemetry.event('feed-regained', { feed: name, failures: this.failures });
       this.timing = { ...this.timing, storeReturnedAt: now };
     }
     this.failures = 0;
-    // Two reads may overlap; the one with the higher position counts.
+    // Two reads may overlap; only what is new goes on.
+    const known = page.isSnapshot ? 0 : Math.max(0, this.furthestPosition - page.from);
     if (page.position >= this.furthestPosition) this.position = page.position;
     this.furthestPosition = Math.max(this.furthestPosition, page.position);
-    this.onPage(page, this.timing);
+    this.options.onPage(
+      { ...page, items: page.items.slice(known), from: page.from + known },
+      this.timing,
+    );
   }
 
   private onFault(fault: FeedFault, startedAt: Instant): void {
-    this.telemetry.count('feed_faults', { feed: this.name, kind: fault.kind });
+    const { name, telemetry, clock } = this.options;
+    telemetry.count('feed_faults', { feed: name, kind: fault.kind });
     switch (fault.kind) {
       case 'position-gone':
         this.position = undefined;
-        this.telemetry.event('feed-history-lost', { feed: this.name, head: this.furthestPosition });
+        telemetry.event('feed-history-lost', { feed: name, head: this.furthestPosition });
         return;
       case 'refused':
       case 'unreachable':
@@ -179,11 +222,11 @@
         this.failures += 1;
         this.timing = { ...this.timing, failedReadAt: startedAt };
         if (this.failures > 1) return;
-        this.telemetry.event('feed-lost', {
-          feed: this.name,
+        telemetry.event('feed-lost', {
+          feed: name,
           kind: fault.kind,
           detail: fault.kind === 'refused' ? fault.status : fault.detail,
-          ageMs: Math.round(this.age(this.clock.now())),
+          ageMs: Math.round(this.age(clock.now())),
         });
     }
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,14 +2,22 @@
 
 import { listen } from '../adapters/listen';
 import { HostGroups, HostRoutes, WeightedRoundRobin, type UpstreamChange } from '../core/gateway';
-import { MILLIS_PER_SECOND, type GatewaySettings, type Millis, type ServiceName } from '../model';
-import type { ConfigFeedItem, DirectoryCodec, Feed, FeedPage, ReadinessCodec } from '../ports';
+import {
+  MILLIS_PER_SECOND,
+  type GatewaySettings,
+  type Millis,
+  type ServiceName,
+  type FeedPage,
+  type KeyedRecord,
+} from '../model';
+import type { ConfigFeedItem, DirectoryCodec, Feed, ReadinessCodec, RecordDecoder } from '../ports';
 
 import type { RequestContext } from './attempt';
 import { ProxiedRequest, type GatewayReply } from './proxied-request';
 import { CallerServer } from './caller-server';
 import type { GatewayContext } from './context';
-import { Follower, type ReadTiming } from './follower';
+import { Feeds } from './feeds';
+import type { ReadTiming } from './follower';
 import { Fleet } from './fleet';
 import type { CallerRequest } from './forwarding';
 import { UpstreamRegistry } from './upstream-registry';
@@ -20,8 +28,10 @@
 
 /** Sources and codecs that a gateway is connected to. */
 export interface GatewayPorts {
-  readonly configFeed: Feed<ConfigFeedItem>;
-  readonly upstreamFeed: Feed<UpstreamChange>;
+  readonly configFeed: Feed<KeyedRecord>;
+  readonly upstreamFeed: Feed<KeyedRecord>;
+  readonly decodeConfig: RecordDecoder<ConfigFeedItem>;
+  readonly decodeUpstreams: RecordDecoder<UpstreamChange>;
   readonly directoryCodec: DirectoryCodec;
   readonly readinessCodec: ReadinessCodec;
   /** Returns all metrics in the Prometheus text format. */
@@ -32,12 +42,6 @@
 const DIRECTORY_TTL_MS: Millis = 1000;
 /** Maximum age at which callers still use a cached answer, as a multiple of its time to live. */
 const DIRECTORY_TTL_OVERUSE_RATIO = 3;
-/**
- * Pause after a read with new items, as a ratio of the time within which departures of upstreams
- * and new configurations must take effect; the rest is for the read itself and for requests in
- * flight.
- */
-const BATCH_PAUSE_RATIO = 0.4;
 /** Retry-After in milliseconds while no configuration is known. */
 const NO_CONFIG_RETRY_AFTER_MS: Millis = 500;
 /** Time in milliseconds before the forced kill at which the remaining requests are broken off. */
@@ -58,9 +62,7 @@
 
   private readonly pool: ConnectionPool;
 
-  private readonly configFollower: Follower<ConfigFeedItem>;
-
-  private readonly upstreamFollower: Follower<UpstreamChange>;
+  private readonly feeds: Feeds;
 
   private readonly callers: CallerServer;
 
@@ -86,31 +88,25 @@
     private readonly context: GatewayContext,
     ports: GatewayPorts,
   ) {
-    const { settings, clock, telemetry, headerConventions, random } = context;
+    const { settings, clock, telemetry, headerConventions } = context;
     this.pool = new ConnectionPool(headerConventions.requestId, clock);
-    const batchPause = (): Millis =>
-      BATCH_PAUSE_RATIO *
-      Math.min(context.settings.bounds.drainTime, context.settings.bounds.configApplyTime);
-    const follow = <T>(
-      name: string,
-      feed: Feed<T>,
-      onPage: (page: FeedPage<T>, timing: ReadTiming) => void,
-    ): Follower<T> => new Follower(name, feed, clock, telemetry, random, batchPause, onPage);
-    this.configFollower = follow('config', ports.configFeed, (page) => this.onConfig(page));
-    this.upstreamFollower = follow('upstreams', ports.upstreamFeed, (page, timing) =>
-      this.onUpstreams(page, timing),
-    );
+    const { configFeed, upstreamFeed } = ports;
+    this.feeds = new Feeds(context, {
+      configFeed,
+      upstreamFeed,
+      onConfig: (page) => this.onConfig(page.items.flatMap(ports.decodeConfig)),
+      onUpstreams: (page, timing) =>
+        this.onUpstreams({ ...page, items: page.items.flatMap(ports.decodeUpstreams) }, timing),
+    });
     this.registry = new UpstreamRegistry(context, {
       pool: this.pool,
       schedulers: () => this.schedulers,
       scheduler: (service) => this.scheduler(service),
     });
     this.fleet = new Fleet(context, {
-      feedPositions: () => [this.configFollower.readPosition, this.upstreamFollower.readPosition],
-      onPeerPositions: ([config, upstreams]) => {
-        this.configFollower.onPeerPosition(config);
-        this.upstreamFollower.onPeerPosition(upstreams);
-      },
+      feedPositions: () => this.feeds.positions,
+      onPeerPositions: (positions) => this.feeds.onPeerPositions(positions),
+      onMembers: (self, members) => this.feeds.onMembers(self, members),
       hostGroups: () => this.hostGroups,
       schedulers: () => this.schedulers,
     });
@@ -146,12 +142,13 @@
   /** Listens on all ports and starts to follow the feeds; rejects if a port can't be bound. */
   async start(): Promise<void> {
     const { settings, telemetry } = this.context;
-    const { callers, metrics } = settings.listen;
+    const { callers, metrics, peers } = settings.listen;
     await this.fleet.listen();
     const listeners = [
       { server: this.callers.server, at: callers },
       ...this.servers.map(({ server, at }) => ({ server, at: settings.listen[at] })),
       { server: this.metricsServer, at: metrics },
+      { server: this.feeds.server, at: peers },
     ];
     for (const { server, at } of listeners) {
       (await listen(server, at.address, at.port)).ifLeft((err) => {
@@ -159,14 +156,14 @@
       });
     }
     telemetry.event('started', { node: settings.node, dataCentre: settings.dataCentre });
-    void this.configFollower.follow();
-    void this.upstreamFollower.follow();
+    this.feeds.start();
   }
 
   /** Joins the fleet once routes and upstreams are known, so that no caller is sent here before. */
   private joinWhenReady(): void {
     if (this.stopping || this.fleet.isJoined) return;
-    if (!this.routes || this.upstreamFollower.readPosition < 0) return;
+    const [, upstreamPosition] = this.feeds.positions;
+    if (!this.routes || upstreamPosition < 0) return;
     this.fleet.join();
     this.context.telemetry.event('ready', { version: this.routes.config.version });
   }
@@ -212,8 +209,7 @@
   }
 
   private close(): void {
-    this.configFollower.close();
-    this.upstreamFollower.close();
+    this.feeds.close();
     this.registry.close();
     [this.callers.server, this.metricsServer, ...this.servers.map(({ server }) => server)].forEach(
       (server) => {
@@ -246,7 +242,7 @@
       proxiedRequest,
       reply,
       configVersion: routes.config.version,
-      upstreamsAge: this.upstreamFollower.age(this.context.clock.now()),
+      upstreamsAge: this.feeds.upstreamsAge(),
     });
     return reply;
   }
@@ -263,8 +259,8 @@
   }
 
   /** Puts a configuration in force if its version is higher than that of the current one. */
-  private onConfig(page: FeedPage<ConfigFeedItem>): void {
-    page.items.forEach((record) => {
+  private onConfig(items: readonly ConfigFeedItem[]): void {
+    items.forEach((record) => {
       switch (record.kind) {
         case 'unusable':
           this.context.telemetry.event('config-refused', { detail: record.detail });
--- a/src/gateway/upstream-registry.ts
+++ b/src/gateway/upstream-registry.ts
@@ -4,8 +4,7 @@
   type UpstreamChange,
   type UpstreamListEvent,
 } from '../core/gateway';
-import type { GatewayUpstream, Millis, ServiceName } from '../model';
-import type { FeedPage } from '../ports';
+import type { GatewayUpstream, Millis, ServiceName, FeedPage } from '../model';
 
 import type { GatewayContext } from './context';
 import type { ReadTiming } from './follower';
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -12,3 +12,4 @@
 export * from './body-error';
 export * from './settings';
 export * from './gateway';
+export * from './feed';
--- a/src/ports/feed.ts
+++ b/src/ports/feed.ts
@@ -1,18 +1,6 @@
 import type { Either } from 'purify-ts';
 
-import type { GatewayConfig, Instant, Millis } from '../model';
-
-/** The result of one read of a feed. */
-export interface FeedPage<T> {
-  /**
-   * Whether the items are the whole state, so that whatever they lack has been removed. Otherwise
-   * they are the changes since the position that was asked for.
-   */
-  readonly isSnapshot: boolean;
-  readonly items: readonly T[];
-  /** The position from which to continue. */
-  readonly position: number;
-}
+import type { FeedPage, GatewayConfig, Instant, KeyedRecord, Millis } from '../model';
 
 /** The reason why a feed could not be read. */
 export type FeedFault =
@@ -37,6 +25,9 @@
   ): Promise<Either<FeedFault, FeedPage<T>>>;
 }
 
+/** Decodes one record into any number of items. */
+export type RecordDecoder<T> = (record: KeyedRecord) => readonly T[];
+
 /** A version of the operators' configuration, or the reason why it could not be decoded. */
 export type ConfigFeedItem =
   | { readonly kind: 'config'; readonly config: GatewayConfig }
--- /dev/null
+++ b/test/gateway/feeds.test.ts
@@ -0,0 +1,194 @@
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { afterEach, describe, it } from 'node:test';
+
+import { feedReadersOf, feedSourceOf } from '../../src/core/gateway';
+import { systemClock } from '../../src/adapters/clock';
+import { listen } from '../../src/adapters/listen';
+import { encodeFeedFrame, FeedFrameDecoder } from '../../src/gateway/feed-frames';
+import { Feeds } from '../../src/gateway/feeds';
+import type { Member } from '../../src/model';
+import {
+  configFeed,
+  headerConventions,
+  parseSettings,
+  StoreClient,
+  upstreamFeed,
+} from '../../platform';
+import { startStore, type StoreStandIn } from '../../standins/platform';
+
+import { freePorts, recordingTelemetry, settingsText } from './harness';
+
+const ADDRESSES = ['127.0.0.1', '127.0.0.2', '127.0.0.3', '127.0.0.4'];
+
+/** The feeds of one gateway, with the keys that they brought. */
+interface Node {
+  readonly feeds: Feeds;
+  readonly member: Member;
+  readonly keys: string[];
+  readonly eventNames: () => readonly string[];
+  readonly close: () => void;
+}
+
+const until = async (condition: () => boolean): Promise<void> => {
+  const deadline = Date.now() + 10_000;
+  while (!condition()) {
+    if (Date.now() > deadline) throw new Error(`not met within 10 s: ${condition.toString()}`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+  }
+};
+
+describe('feeds that a few gateways read for the others', () => {
+  const closers: (() => void)[] = [];
+  afterEach(() => closers.splice(0).forEach((close) => close()));
+
+  const startNode = async (port: number, store: StoreStandIn, address: string): Promise<Node> => {
+    const settings = parseSettings('test', settingsText(port, store.port)).unsafeCoerce();
+    const telemetry = recordingTelemetry();
+    const client = new StoreClient(settings.store, systemClock);
+    const keys: string[] = [];
+    const feeds = new Feeds(
+      { settings, clock: systemClock, telemetry, headerConventions, random: () => 0 },
+      {
+        configFeed: configFeed(client),
+        upstreamFeed: upstreamFeed(client),
+        onConfig: () => {},
+        onUpstreams: ({ items }) => keys.push(...items.map(({ key }) => key)),
+      },
+    );
+    await listen(feeds.server, address, port);
+    feeds.start();
+    let isClosed = false;
+    const close = (): void => {
+      if (isClosed) return;
+      isClosed = true;
+      feeds.close();
+      client.close();
+    };
+    closers.push(close);
+    const member: Member = {
+      incarnation: address,
+      dataCentre: 'takoradi',
+      address,
+      callerPort: 1,
+      peerPort: port,
+      state: 'alive',
+    };
+    return {
+      feeds,
+      member,
+      keys,
+      eventNames: () => telemetry.events.map(({ name }) => name),
+      close,
+    };
+  };
+
+  /** Starts four gateways of one data centre, two of which read for the other two. */
+  const startFleet = async (): Promise<{
+    store: StoreStandIn;
+    readers: readonly Node[];
+    others: readonly Node[];
+    tell: (nodes: readonly Node[]) => void;
+  }> => {
+    const store = await startStore();
+    closers.push(() => {
+      void store.close();
+    });
+    store.put('keyed.op', 'config', '{}');
+    store.put('keyed.servers', 'u0', 'x');
+    const port = await freePorts(5);
+    const nodes = await Promise.all(ADDRESSES.map((address) => startNode(port, store, address)));
+    await until(() => nodes.every(({ feeds }) => feeds.positions.every((at) => at >= 0)));
+    const tell = (told: readonly Node[]): void => {
+      const members = told.map(({ member }) => member);
+      told.forEach(({ feeds, member }) => feeds.onMembers(member.incarnation, members));
+    };
+    tell(nodes);
+    const members = nodes.map(({ member }) => member);
+    const isReader = ({ member }: Node): boolean =>
+      feedSourceOf(member.incarnation, 'takoradi', members).kind === 'store';
+    const others = nodes.filter((node) => !isReader(node));
+    await until(() => others.every((node) => node.eventNames().includes('feed-reader-connected')));
+    expect(feedReadersOf(members, 'takoradi').length).toEqual(2);
+    return { store, readers: nodes.filter(isReader), others, tell };
+  };
+
+  it('reach all gateways, which make no read of their own', async () => {
+    const { store, readers, others } = await startFleet();
+    // Long reads that were waiting when the readers took over end with this change.
+    store.put('keyed.servers', 'u1', 'x');
+    await until(() => [...readers, ...others].every(({ keys }) => keys.includes('u1')));
+    await new Promise((resolve) => {
+      setTimeout(resolve, 1000);
+    });
+    const before = store.requestCount;
+    store.put('keyed.servers', 'u2', 'x');
+    await until(() => [...readers, ...others].every(({ keys }) => keys.includes('u2')));
+    expect(store.requestCount - before <= readers.length).toEqual(true);
+    expect(others.every(({ keys }) => keys.filter((key) => key === 'u2').length === 1)).toEqual(
+      true,
+    );
+  });
+
+  it('are read at the store again when all readers are gone', async () => {
+    const { store, readers, others } = await startFleet();
+    readers.forEach(({ close }) => close());
+    await until(() => others.every((node) => node.eventNames().includes('feed-reader-lost')));
+    store.put('keyed.servers', 'u3', 'x');
+    await until(() => others.every(({ keys }) => keys.includes('u3')));
+  });
+
+  it('are read at the store while the readers are out of contact with it', async () => {
+    const { store, others } = await startFleet();
+    store.mood = 'busy';
+    store.put('keyed.servers', 'u4', 'x');
+    await until(() => others.every((node) => node.eventNames().includes('feed-lost')));
+    store.mood = 'well';
+    await until(() => others.every(({ keys }) => keys.includes('u4')));
+  });
+
+  it('are read at the store when a peer is ahead of the reader', async () => {
+    const { store, others } = await startFleet();
+    const [other] = others;
+    if (!other) throw new Error('expected a gateway that does not read');
+    const [config, upstreams] = other.feeds.positions;
+    const before = store.requestCount;
+    other.feeds.onPeerPositions([config, upstreams + 1]);
+    await until(() => store.requestCount > before);
+  });
+});
+
+describe('frames of feeds', () => {
+  it('survive any split of their bytes', () => {
+    const page = {
+      isSnapshot: false,
+      items: [{ key: 'u1', value: Buffer.from('x') }],
+      from: 3,
+      position: 4,
+    };
+    const frames = [{ kind: 'beat' } as const, { kind: 'page', feed: 'upstreams', page } as const];
+    const bytes = Buffer.concat(frames.map(encodeFeedFrame));
+    fc.assert(
+      fc.property(fc.integer({ min: 0, max: bytes.length }), (at) => {
+        const decoder = new FeedFrameDecoder();
+        const parts = [bytes.subarray(0, at), bytes.subarray(at)];
+        expect(parts.flatMap((part) => decoder.push(part) ?? [])).toEqual(frames);
+      }),
+      { seed: 1 },
+    );
+  });
+
+  it('that are malformed are refused and never throw', () => {
+    fc.assert(
+      fc.property(fc.uint8Array({ maxLength: 64 }), (body) => {
+        const head = Buffer.alloc(4);
+        head.writeUInt32BE(body.length);
+        const frames = new FeedFrameDecoder().push(Buffer.concat([head, body]));
+        expect(frames === undefined || frames.length === 1).toEqual(true);
+      }),
+      { seed: 1, numRuns: 1000 },
+    );
+  });
+});
--- a/test/gateway/fleet.test.ts
+++ b/test/gateway/fleet.test.ts
@@ -49,6 +49,7 @@
   const fleet = new Fleet(context, {
     feedPositions: () => [3, 4],
     onPeerPositions: (told) => heads.push(told),
+    onMembers: () => {},
     hostGroups: () => new HostGroups(CONFIG, () => 0),
     schedulers: () => schedulers,
   });
--- a/test/gateway/follower.test.ts
+++ b/test/gateway/follower.test.ts
@@ -3,7 +3,8 @@
 import { Left, Right, type Either } from 'purify-ts';
 
 import { Follower, retryDelay } from '../../src/gateway/follower';
-import type { Feed, FeedFault, FeedPage } from '../../src/ports';
+import type { FeedPage } from '../../src/model';
+import type { Feed, FeedFault } from '../../src/ports';
 
 import { recordingTelemetry } from './harness';
 
@@ -61,15 +62,16 @@
     const items: string[] = [];
     const telemetry = recordingTelemetry();
     const clock = { now: () => performance.now(), wall: () => Date.now() };
-    follower = new Follower(
-      'test',
+    follower = new Follower({
+      name: 'test',
       feed,
       clock,
       telemetry,
-      () => 0.5,
-      () => batchPause,
-      (read) => items.push(...read.items),
-    );
+      longPoll: () => 15_000,
+      batchPause: () => batchPause,
+      peerGrace: () => 300,
+      onPage: (read) => items.push(...read.items),
+    });
     void follower.follow();
     return { feed, items, events: () => telemetry.events.map(({ name }) => name) };
   };
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -4,12 +4,14 @@
 
 import {
   configFeed,
+  decodeConfigRecord,
   headerConventions,
   directoryCodec,
   parseSettings,
   readinessCodec,
   StoreClient,
   upstreamFeed,
+  upstreamRecordDecoder,
 } from '../../platform';
 import { systemClock } from '../../src/adapters';
 import { Gateway } from '../../src/gateway';
@@ -194,7 +196,9 @@
       { settings, clock, telemetry, headerConventions, random: Math.random },
       {
         configFeed: configFeed(client),
-        upstreamFeed: upstreamFeed(client, clock, telemetry),
+        upstreamFeed: upstreamFeed(client),
+        decodeConfig: decodeConfigRecord,
+        decodeUpstreams: upstreamRecordDecoder(clock, telemetry),
         directoryCodec,
         readinessCodec,
         metrics: () => Promise.resolve(''),
