--- a/src/core/gateway/windowed-retry-budget.ts
+++ b/src/core/gateway/windowed-retry-budget.ts
@@ -10,6 +10,15 @@
  */
 const INITIAL_BASE_RATIO = 0.4;
 
+/** Ratio of the budget up to which hedges may use it. */
+const HEDGE_BUDGET_RATIO = 0.5;
+
+/**
+ * What a retry is for: `failed` follows an attempt without a usable answer, `hedge` joins one that
+ * is slow and may still succeed.
+ */
+export type RetryPurpose = 'failed' | 'hedge';
+
 /** The bounds on retries of the whole fleet, which a change of settings may alter. */
 export type RetryBounds = Pick<GatewayBounds, 'repeatRatio' | 'repeatBase' | 'repeatWindow'>;
 
@@ -45,9 +54,11 @@
 
   /**
    * Records a retry and returns true if the budget allows one. `sharers` is the number of nodes,
-   * this one included, that share the fixed allowance; 0 if this node has no share.
+   * this one included, that share the fixed allowance; 0 if this node has no share. Load pattern:
+   * upstreams turn slow and others fail at the same time; hedges, most of which are not needed,
+   * would leave nothing for requests that fail without a retry.
    */
-  take(sharers: number, now: Instant): boolean {
+  take(sharers: number, now: Instant, purpose: RetryPurpose = 'failed'): boolean {
     const { repeatRatio, repeatBase, repeatWindow } = this.bounds();
     const oldest = now - repeatWindow;
     dropExpired(this.requests, oldest);
@@ -58,7 +69,8 @@
       (1 - INITIAL_BASE_RATIO) * Math.min(1, (now - this.startedAt) / repeatWindow);
     const allowed =
       RATIO_UTILIZATION * repeatRatio * this.requests.length + baseShare * accruedRatio;
-    if (this.retries.length + 1 > allowed) return false;
+    const limit = purpose === 'hedge' ? HEDGE_BUDGET_RATIO * allowed : allowed;
+    if (this.retries.length + 1 > limit) return false;
     this.retries.push({ at: now });
     return true;
   }
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -174,12 +174,16 @@
    * the retry budget is spent.
    */
   private startHedge(provenOnly: boolean): RunningAttempt | undefined {
-    const now = this.context.clock.now();
+    const { scheduler, context } = this;
     const placed = this.scheduler.placeNow(this.placementRequest(), this.request.id);
     if (placed?.kind !== 'send') return undefined;
     if (
       (provenOnly && placed.why !== 'proven') ||
-      !this.scheduler.retryBudget.take(this.context.retryBudgetSharers(this.scheduler.name), now)
+      !scheduler.retryBudget.take(
+        context.retryBudgetSharers(scheduler.name),
+        context.clock.now(),
+        'hedge',
+      )
     ) {
       this.scheduler.release(placed.stats, this.request.id);
       return undefined;
--- a/test/core/gateway/gateway.test.ts
+++ b/test/core/gateway/gateway.test.ts
@@ -141,6 +141,21 @@
     expect(retries.length > 0).toEqual(true);
   });
 
+  it('are left for failed attempts while many others are slow', () => {
+    const budget = new WindowedRetryBudget(() => bounds, -10_000);
+    let hedges = 0;
+    let retried = 0;
+    for (let now = 0; now < 10_000; now += 10) {
+      budget.recordRequest(now);
+      // One attempt in four is slow, and from the fifth second on one in fourteen fails.
+      if (now % 40 === 0 && budget.take(6, now, 'hedge')) hedges += 1;
+      if (now >= 5000 && now % 140 === 0 && budget.take(6, now)) retried += 1;
+    }
+    expect(retried).toEqual(36);
+    // Hedges use what half of the budget leaves them: 0.85 of the ratio for 1000 requests.
+    expect(hedges + retried >= 0.5 * 0.85 * 0.2 * 1000).toEqual(true);
+  });
+
   it('are allowed on an owner that has just started', () => {
     expect(new WindowedRetryBudget(() => bounds, 0).take(6, 0)).toEqual(true);
     expect(new WindowedRetryBudget(() => bounds, 0).take(0, 0)).toEqual(false);
