--- a/src/core/placement/choose-upstream.ts
+++ b/src/core/placement/choose-upstream.ts
@@ -1,112 +1,12 @@
-import type { DataCentre, Instant, Millis, UpstreamId } from '../../model';
+import type { Instant, Millis } from '../../model';
 
+import { expectedCost, hasCapacity, hasFreeSlot } from './expected-cost';
 import { failureProbability, faultProbabilityAt } from './fault-model';
+import type { Placement, PlacementContext, PlacementRequest } from './placement';
 import type { UpstreamStats } from './upstream-stats';
 
-/** The properties of a request that the choice of its upstream depends on. */
-export interface PlacementRequest {
-  /** Whether the request may be sent again after a failed attempt. */
-  readonly retryable: boolean;
-  /** Mean length in bytes of the answer bodies on the request's route. */
-  readonly meanBytes: number;
-  /** Mean latency in milliseconds of the answers on the request's route. */
-  readonly meanLatency: Millis;
-  /** Milliseconds from now within which an answer meets the route's latency objective. */
-  readonly objective: Millis;
-  /** Milliseconds from now until the request's deadline. */
-  readonly remaining: Millis;
-  /** Whether the request can wait no longer, so that any upstream is preferred to none. */
-  readonly lastResort: boolean;
-  /** Upstreams that the request has already been sent to; they are not chosen again. */
-  readonly tried: ReadonlySet<UpstreamId>;
-}
-
-/** The result of choosing an upstream for a request. */
-export type Placement =
-  | {
-      readonly kind: 'send';
-      readonly stats: UpstreamStats;
-      /**
-       * Reason for the choice: `proven` has a low failure probability, `trial` has a higher one but
-       * the lowest cost, `cover` had no request recently, `newcomer` never had one.
-       */
-      readonly why: 'proven' | 'trial' | 'cover' | 'newcomer';
-    }
-  /**
-   * Every ready upstream is full or avoided for a moment, or it is better to wait for another one.
-   */
-  | { readonly kind: 'full' }
-  /** No upstream is ready that the request has not been sent to. */
-  | { readonly kind: 'none' };
-
-/** The state of the node and the service when an upstream is chosen. */
-export interface PlacementContext {
-  readonly now: Instant;
-  readonly dataCentre: DataCentre;
-  /** Whether this node is an owner of the service and receives the other owners' observations. */
-  readonly isOwner: boolean;
-  /**
-   * Returns a number from 0 up to but excluding 1; spreads requests over equally good upstreams.
-   */
-  readonly random: () => number;
-  /**
-   * Lowest ratio, 0 to 1, of the upstreams without a recent failure that should have had a recent
-   * request.
-   */
-  readonly minCoverageRatio: number;
-  /** Whether this request may go to an upstream because that has had no request recently. */
-  readonly coverageAllowed: boolean;
-}
-
-/** Cost weights in units of failure probability, so that they can be added to one. */
-const COST_WEIGHTS = {
-  /**
-   * Cost of an upstream in another data centre, since links between data centres fail more often.
-   */
-  otherDataCentre: 0.004,
-  /**
-   * Cost of each kilobyte (1024 bytes) that an answer carries from another data centre, since that
-   * traffic is paid for.
-   */
-  otherDataCentrePerKilobyte: 0.005,
-  /**
-   * Upper bound of the cost of bytes from another data centre; a faulty local upstream costs more.
-   */
-  otherDataCentreBytesMax: 0.25,
-  /**
-   * Cost of an upstream whose slots are all taken, in proportion below that. Other nodes may be
-   * sending there at the same time, and some upstreams slow down when they are nearly full.
-   */
-  fullLoad: 0.1,
-  /**
-   * Cost of queueing at the upstream for as long as the objective leaves to spare: the loss by a
-   * late answer.
-   */
-  queueDelay: 0.5,
-  /** Ratio of the cost of a failure that can be retried to the cost of one that can't. */
-  retryableFailureFactor: 0.35,
-  /** Cost of each multiple of the mean latency beyond the first. */
-  excessLatency: 0.08,
-  /** Cost of an upstream that has just started and is still warming up. */
-  warmingUp: 0.05,
-  /** Cost of each overdue request at the upstream. */
-  overdueRequest: 0.25,
-  /**
-   * Upper bound of the random cost; higher values make nodes with equal knowledge pick different
-   * upstreams more often.
-   */
-  jitterMax: 0.03,
-} as const;
-
-const BYTES_PER_KB = 1024;
 /** Failure probability up to which a chosen upstream is reported as `proven`. */
 const MAX_PROVEN_FAILURE_PROBABILITY = 0.1;
-/**
- * Failure probability that lower ones are raised to. An upstream that answered within the last
- * three seconds then costs as much as one that has just answered, so that load decides between
- * them.
- */
-const MIN_FAILURE_PROBABILITY = 0.08;
 /**
  * Time in milliseconds since an upstream joined after which it gets a request if it has had none.
  */
@@ -129,12 +29,10 @@
 const MAX_COVERAGE_JITTER = 0.5;
 
 /**
- * Number of requests beyond its slots that an upstream may hold; it stays below the queue length at
- * which upstreams shed.
+ * Upper bound of the random cost, in units of failure probability; higher values make nodes with
+ * equal knowledge pick different upstreams more often.
  */
-const MAX_QUEUED_COUNT = 10;
-/** Ratio of the time to the deadline that a request may spend queued at an upstream. */
-const MAX_QUEUE_TIME_RATIO = 0.4;
+const MAX_COST_JITTER = 0.03;
 /** Cost, in units of failure probability, above which a request waits for a better upstream. */
 const MAX_ACCEPTED_COST = 0.3;
 
@@ -148,60 +46,6 @@
  */
 const MAX_LAST_RESORT_FAILURE_PROBABILITY = 0.5;
 
-/** Returns the time in milliseconds that a request would wait for a slot at an upstream. */
-const queueTime = (load: number, slots: number, meanLatency: Millis): Millis =>
-  (Math.max(0, load + 1 - slots) / slots) * meanLatency;
-
-const hasFreeSlot = (
-  stats: UpstreamStats,
-  { meanLatency }: PlacementRequest,
-  now: Instant,
-): boolean => stats.load(now, meanLatency) < stats.upstream.slots;
-
-const hasCapacity = (stats: UpstreamStats, request: PlacementRequest, now: Instant): boolean => {
-  const { slots } = stats.upstream;
-  const load = stats.load(now, request.meanLatency);
-  const wait = queueTime(load, slots, request.meanLatency);
-  return load < slots + MAX_QUEUED_COUNT && wait <= MAX_QUEUE_TIME_RATIO * request.remaining;
-};
-
-/** Returns the cost of queueing for a slot at an upstream, in units of failure probability. */
-const queueDelayCost = (
-  load: number,
-  slots: number,
-  { meanLatency, objective }: PlacementRequest,
-): number => {
-  const spare = Math.max(meanLatency / 2, objective - meanLatency);
-  return COST_WEIGHTS.queueDelay * Math.min(1, queueTime(load, slots, meanLatency) / spare);
-};
-
-const otherDataCentreCost = (bytes: number): number =>
-  COST_WEIGHTS.otherDataCentre +
-  Math.min(
-    COST_WEIGHTS.otherDataCentreBytesMax,
-    (COST_WEIGHTS.otherDataCentrePerKilobyte * bytes) / BYTES_PER_KB,
-  );
-
-/** Returns the cost of sending a request to an upstream now, in units of failure probability. */
-export const expectedCost = (
-  stats: UpstreamStats,
-  request: PlacementRequest,
-  { now, dataCentre }: PlacementContext,
-): number => {
-  const { upstream } = stats;
-  const load = stats.load(now, request.meanLatency);
-  const failure = Math.max(MIN_FAILURE_PROBABILITY, failureProbability(stats.belief, now));
-  return (
-    failure * (request.retryable ? COST_WEIGHTS.retryableFailureFactor : 1) +
-    queueDelayCost(load, upstream.slots, request) +
-    (upstream.dataCentre === dataCentre ? 0 : otherDataCentreCost(request.meanBytes)) +
-    (COST_WEIGHTS.fullLoad * load) / upstream.slots +
-    COST_WEIGHTS.excessLatency * Math.max(0, stats.latencyRatio - 1) +
-    (now < upstream.warmedUpAt ? COST_WEIGHTS.warmingUp : 0) +
-    COST_WEIGHTS.overdueRequest * stats.overdueCount(now)
-  );
-};
-
 const minBy = (
   candidates: readonly UpstreamStats[],
   measure: (stats: UpstreamStats) => number,
@@ -319,7 +163,7 @@
   }
   const best = minBy(
     preferRegistered(available, request, now),
-    (stats) => expectedCost(stats, request, context) + COST_WEIGHTS.jitterMax * context.random(),
+    (stats) => expectedCost(stats, request, context) + MAX_COST_JITTER * context.random(),
   );
   if (!best) return { kind: 'full' };
   if (isWorthWaiting(best, ready, request, context)) return { kind: 'full' };
--- /dev/null
+++ b/src/core/placement/expected-cost.ts
@@ -0,0 +1,114 @@
+import type { Instant, Millis } from '../../model';
+
+import { failureProbability } from './fault-model';
+import type { PlacementContext, PlacementRequest } from './placement';
+import type { UpstreamStats } from './upstream-stats';
+
+/** Cost weights in units of failure probability, so that they can be added to one. */
+const COST_WEIGHTS = {
+  /**
+   * Cost of an upstream in another data centre, since links between data centres fail more often.
+   */
+  otherDataCentre: 0.004,
+  /**
+   * Cost of each kilobyte (1024 bytes) that an answer carries from another data centre, since that
+   * traffic is paid for.
+   */
+  otherDataCentrePerKilobyte: 0.005,
+  /**
+   * Upper bound of the cost of bytes from another data centre; a faulty local upstream costs more.
+   */
+  otherDataCentreBytesMax: 0.25,
+  /**
+   * Cost of an upstream whose slots are all taken, in proportion below that. Other nodes may be
+   * sending there at the same time, and some upstreams slow down when they are nearly full.
+   */
+  fullLoad: 0.1,
+  /**
+   * Cost of queueing at the upstream for as long as the objective leaves to spare: the loss by a
+   * late answer.
+   */
+  queueDelay: 0.5,
+  /** Ratio of the cost of a failure that can be retried to the cost of one that can't. */
+  retryableFailureFactor: 0.35,
+  /** Cost of each multiple of the mean latency beyond the first. */
+  excessLatency: 0.08,
+  /** Cost of an upstream that has just started and is still warming up. */
+  warmingUp: 0.05,
+  /** Cost of each overdue request at the upstream. */
+  overdueRequest: 0.25,
+} as const;
+
+const BYTES_PER_KB = 1024;
+/**
+ * Failure probability that lower ones are raised to. An upstream that answered within the last
+ * three seconds then costs as much as one that has just answered, so that load decides between
+ * them.
+ */
+const MIN_FAILURE_PROBABILITY = 0.08;
+/**
+ * Number of requests beyond its slots that an upstream may hold; it stays below the queue length at
+ * which upstreams shed.
+ */
+const MAX_QUEUED_COUNT = 10;
+/** Ratio of the time to the deadline that a request may spend queued at an upstream. */
+const MAX_QUEUE_TIME_RATIO = 0.4;
+/** Returns the time in milliseconds that a request would wait for a slot at an upstream. */
+const queueTime = (load: number, slots: number, meanLatency: Millis): Millis =>
+  (Math.max(0, load + 1 - slots) / slots) * meanLatency;
+
+/** Returns whether one of the upstream's slots is free. */
+export const hasFreeSlot = (
+  stats: UpstreamStats,
+  { meanLatency }: PlacementRequest,
+  now: Instant,
+): boolean => stats.load(now, meanLatency) < stats.upstream.slots;
+
+/** Returns whether the upstream has a free slot, or room to queue for one in time. */
+export const hasCapacity = (
+  stats: UpstreamStats,
+  request: PlacementRequest,
+  now: Instant,
+): boolean => {
+  const { slots } = stats.upstream;
+  const load = stats.load(now, request.meanLatency);
+  const wait = queueTime(load, slots, request.meanLatency);
+  return load < slots + MAX_QUEUED_COUNT && wait <= MAX_QUEUE_TIME_RATIO * request.remaining;
+};
+
+/** Returns the cost of queueing for a slot at an upstream, in units of failure probability. */
+const queueDelayCost = (
+  load: number,
+  slots: number,
+  { meanLatency, objective }: PlacementRequest,
+): number => {
+  const spare = Math.max(meanLatency / 2, objective - meanLatency);
+  return COST_WEIGHTS.queueDelay * Math.min(1, queueTime(load, slots, meanLatency) / spare);
+};
+
+const otherDataCentreCost = (bytes: number): number =>
+  COST_WEIGHTS.otherDataCentre +
+  Math.min(
+    COST_WEIGHTS.otherDataCentreBytesMax,
+    (COST_WEIGHTS.otherDataCentrePerKilobyte * bytes) / BYTES_PER_KB,
+  );
+
+/** Returns the cost of sending a request to an upstream now, in units of failure probability. */
+export const expectedCost = (
+  stats: UpstreamStats,
+  request: PlacementRequest,
+  { now, dataCentre }: PlacementContext,
+): number => {
+  const { upstream } = stats;
+  const load = stats.load(now, request.meanLatency);
+  const failure = Math.max(MIN_FAILURE_PROBABILITY, failureProbability(stats.belief, now));
+  return (
+    failure * (request.retryable ? COST_WEIGHTS.retryableFailureFactor : 1) +
+    queueDelayCost(load, upstream.slots, request) +
+    (upstream.dataCentre === dataCentre ? 0 : otherDataCentreCost(request.meanBytes)) +
+    (COST_WEIGHTS.fullLoad * load) / upstream.slots +
+    COST_WEIGHTS.excessLatency * Math.max(0, stats.latencyRatio - 1) +
+    (now < upstream.warmedUpAt ? COST_WEIGHTS.warmingUp : 0) +
+    COST_WEIGHTS.overdueRequest * stats.overdueCount(now)
+  );
+};
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -1,4 +1,6 @@
 export * from './fault-model';
 export * from './upstream-stats';
+export * from './placement';
+export * from './expected-cost';
 export * from './choose-upstream';
 export * from './load-balancer';
--- a/src/core/placement/load-balancer.ts
+++ b/src/core/placement/load-balancer.ts
@@ -7,8 +7,9 @@
   UpstreamId,
 } from '../../model';
 
-import { chooseUpstream, type Placement, type PlacementRequest } from './choose-upstream';
+import { chooseUpstream } from './choose-upstream';
 import { faultProbabilityAt, PRIOR_BELIEF, type EvidenceKind } from './fault-model';
+import type { Placement, PlacementRequest } from './placement';
 import { UpstreamStats } from './upstream-stats';
 
 /** Latency and body length of one answer, or their means over a route's answers. */
