Record no request at an upstream for a hedge that is not sent

A hedge took its upstream's slot before it was known whether it may be sent, and the upstream counted as used although nothing went there, so that coverage passed it over. Hedges that are tried again made this frequent.

Change: the scheduler asks whether the upstream is accepted before it records the attempt.

--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -175,20 +175,18 @@
    */
   private startHedge(provenOnly: boolean): RunningAttempt | undefined {
     const { scheduler, context } = this;
-    const placed = this.scheduler.placeNow(this.placementRequest(), this.request.id);
-    if (placed?.kind !== 'send') return undefined;
-    if (
-      (provenOnly && placed.why !== 'proven') ||
-      !scheduler.retryBudget.take(
-        context.retryBudgetSharers(scheduler.name),
-        context.clock.now(),
-        'hedge',
-      )
-    ) {
-      this.scheduler.release(placed.stats, this.request.id);
-      return undefined;
-    }
-    return this.startAttempt(placed.stats, 'hedge');
+    const placed = scheduler.placeNow(
+      this.placementRequest(),
+      this.request.id,
+      ({ why }) =>
+        (why === 'proven' || !provenOnly) &&
+        scheduler.retryBudget.take(
+          context.retryBudgetSharers(scheduler.name),
+          context.clock.now(),
+          'hedge',
+        ),
+    );
+    return placed?.kind === 'send' ? this.startAttempt(placed.stats, 'hedge') : undefined;
   }
 
   /** Starts an attempt that is cancelled when the caller leaves. */
--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/service-scheduler.ts
@@ -182,12 +182,20 @@
     this.drainQueue();
   }
 
-  /** Works like `place`, but returns undefined where the request would have to wait. */
-  placeNow(request: QueueablePlacement, requestId: string): PlacementResult | undefined {
+  /**
+   * Works like `place`, but returns undefined where the request would have to wait, or if `accepts`
+   * refuses the upstream; nothing is then recorded of it.
+   */
+  placeNow(
+    request: QueueablePlacement,
+    requestId: string,
+    accepts: (placement: Extract<Placement, { kind: 'send' }>) => boolean = () => true,
+  ): PlacementResult | undefined {
     const now: Instant = this.context.clock.now();
     const placement = this.balancer.place(request, this.isOwner(), now);
     switch (placement.kind) {
       case 'send':
+        if (!accepts(placement)) return undefined;
         placement.stats.attemptStarted(
           requestId,
           now,
