Answer a request before the error of malformed bytes after it

Cause, found by a new test of uploads: a caller that sends more than its content length gets 400 for the rest at once, as the answer to the request before it, which is still at an upstream.

Change: the error is sent when that request has been answered.

Result: test/gateway/uploads (new): the longer body got no 200 before. The other cases pass before and after: a large body once and whole, a caller that stalls or leaves in the middle, an upstream that fails. Not built: bodies are still held whole in memory.

--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -49,6 +49,12 @@
   /** When the head of the last request arrived; -Infinity before the first. */
   lastRequestAt: Instant = Number.NEGATIVE_INFINITY;
 
+  /** The last request on each connection and its response. */
+  private readonly exchanges = new WeakMap<
+    Socket,
+    { readonly req: IncomingMessage; readonly res: ServerResponse }
+  >();
+
   /** Total size in bytes of the request bodies held. */
   private heldBytes = 0;
 
@@ -79,6 +85,7 @@
     const arrivedAt = clock.now();
     this.lastRequestAt = arrivedAt;
     this.inFlight += 1;
+    this.exchanges.set(req.socket, { req, res });
     const callerLeft = new AbortController();
     res.once('close', () => {
       this.inFlight -= 1;
@@ -153,7 +160,10 @@
     };
   }
 
-  /** Answers a connection error of a caller; after a reset the socket is only destroyed. */
+  /**
+   * Answers a connection error of a caller; after a reset the socket is only destroyed. Where bytes
+   * after a complete request are malformed, that request is answered first.
+   */
   private onClientError(err: NodeJS.ErrnoException, socket: Socket): void {
     const code = err.code ?? 'unknown';
     this.context.telemetry.count('caller_errors', { code });
@@ -161,6 +171,11 @@
       socket.destroy();
       return;
     }
+    const last = this.exchanges.get(socket);
+    if (last?.req.complete && !last.res.writableFinished) {
+      last.res.once('finish', () => this.onClientError(err, socket));
+      return;
+    }
     const status = STATUS_BY_PARSER_ERROR.get(code) ?? '400 Bad Request';
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
   }
