Let attempts without any answer use the whole retry budget

Hedges had spent their part of the host's budget.

Change: from five times the route's mean latency on, a second attempt counts as one after a failure.

Result: a replay in test/core/gateway: 30 of 30 such requests retried after slow ones have spent their part, not all before.

--- a/src/core/gateway/windowed-retry-budget.ts
+++ b/src/core/gateway/windowed-retry-budget.ts
@@ -1,4 +1,4 @@
-import type { GatewayBounds, Instant } from '../../model';
+import type { GatewayBounds, Instant, Millis } from '../../model';
 
 /** Ratio of `repeatRatio` that is used; the rest allows for sliding windows and late arrivals. */
 const RATIO_UTILIZATION = 0.85;
@@ -19,6 +19,17 @@
  */
 export type RetryPurpose = 'failed' | 'hedge';
 
+/** Multiple of a route's mean latency after which an attempt is most likely lost. */
+const LOST_LATENCY_RATIO = 5;
+
+/**
+ * Returns what a second attempt is for that joins one without an answer for `elapsed` milliseconds.
+ * Load pattern: upstreams crash without closing their connections while the hedges' part of the
+ * budget is spent; requests that can only time out come before those that are merely slow.
+ */
+export const purposeOfHedge = (elapsed: Millis, meanLatency: Millis): RetryPurpose =>
+  elapsed >= LOST_LATENCY_RATIO * meanLatency ? 'failed' : 'hedge';
+
 /** The bounds on retries of the whole fleet, which a change of settings may alter. */
 export type RetryBounds = Pick<GatewayBounds, 'repeatRatio' | 'repeatBase' | 'repeatWindow'>;
 
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { nextStep, type AttemptOutcome } from '../core/gateway';
+import { nextStep, purposeOfHedge, type AttemptOutcome, type RetryPurpose } from '../core/gateway';
 import type { UpstreamStats } from '../core/placement';
 import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../model';
 
@@ -148,6 +148,7 @@
     const { balancer } = this.scheduler;
     const hasEnded = first.ended.then(() => true);
     let delay = HEDGE_LATENCY_RATIO * balancer.meanLatency(this.route.name);
+    const startedAt = this.context.clock.now();
     let isFirstTry = true;
     for (;;) {
       const timer = new AbortController();
@@ -157,7 +158,9 @@
       ]);
       timer.abort();
       if (isOver) return undefined;
-      const hedge = this.startHedge(isFirstTry);
+      const elapsed = this.context.clock.now() - startedAt;
+      const purpose = purposeOfHedge(elapsed, balancer.meanLatency(this.route.name));
+      const hedge = this.startHedge(isFirstTry, purpose);
       if (hedge) return hedge;
       isFirstTry = false;
       delay = HEDGE_RETRY_LATENCY_RATIO * balancer.meanLatency(this.route.name);
@@ -173,7 +176,7 @@
    * Starts a hedge; undefined if no upstream is free, or none proven healthy if `provenOnly`, or if
    * the retry budget is spent.
    */
-  private startHedge(provenOnly: boolean): RunningAttempt | undefined {
+  private startHedge(provenOnly: boolean, purpose: RetryPurpose): RunningAttempt | undefined {
     const { scheduler, context } = this;
     const placed = scheduler.placeNow(
       this.placementRequest(),
@@ -183,7 +186,7 @@
         scheduler.retryBudget.take(
           context.retryBudgetSharers(scheduler.name),
           context.clock.now(),
-          'hedge',
+          purpose,
         ),
     );
     return placed?.kind === 'send' ? this.startAttempt(placed.stats, 'hedge') : undefined;
--- a/test/core/gateway/gateway.test.ts
+++ b/test/core/gateway/gateway.test.ts
@@ -7,6 +7,7 @@
   HostGroups,
   HostRoutes,
   nextStep,
+  purposeOfHedge,
   ownersOf,
   WindowedRetryBudget,
   WeightedRoundRobin,
@@ -156,6 +157,17 @@
     expect(hedges + retried >= 0.5 * 0.85 * 0.2 * 1000).toEqual(true);
   });
 
+  it('are left for attempts without any answer once slow ones have spent their part', () => {
+    const budget = new WindowedRetryBudget(() => bounds, -10_000);
+    for (let now = 0; now < 5000; now += 10) budget.recordRequest(now);
+    while (budget.take(6, 5000, purposeOfHedge(300, 100)));
+    // Thirty requests were sent to an upstream that crashed without closing its connections.
+    const retried = Array.from({ length: 30 }, () =>
+      budget.take(6, 5000, purposeOfHedge(500, 100)),
+    );
+    expect(retried.every((isAllowed) => isAllowed)).toEqual(true);
+  });
+
   it('are allowed on an owner that has just started', () => {
     expect(new WindowedRetryBudget(() => bounds, 0).take(6, 0)).toEqual(true);
     expect(new WindowedRetryBudget(() => bounds, 0).take(0, 0)).toEqual(false);
