Answer malformed targets at the server of the feeds

Cause, found when reading the change: a target such as // can't be parsed as a URL, and the exception ended the process.

Change: path and query are split without a URL parser.

Result: the new case of test/gateway/feeds ends with the exception without the change and gets 404 now.

--- a/src/gateway/feed-relay.ts
+++ b/src/gateway/feed-relay.ts
@@ -40,7 +40,7 @@
   ) {
     this.server = http.createServer((req, res) => {
       req.resume();
-      this.subscribe(new URL(req.url ?? '/', 'http://relay'), res);
+      this.subscribe(req.url ?? '', res);
     });
   }
 
@@ -68,9 +68,11 @@
     this.server.closeAllConnections();
   }
 
-  private subscribe(url: URL, res: ServerResponse): void {
-    const positions = FEEDS.map((feed) => Number(url.searchParams.get(feed) ?? NaN));
-    const isValid = url.pathname === FEED_STREAM_PATH && positions.every(Number.isSafeInteger);
+  private subscribe(target: string, res: ServerResponse): void {
+    const [path = '', query] = target.split('?');
+    const params = new URLSearchParams(query);
+    const positions = FEEDS.map((feed) => Number(params.get(feed) ?? NaN));
+    const isValid = path === FEED_STREAM_PATH && positions.every(Number.isSafeInteger);
     const hasAll = FEEDS.every((feed) => this.histories[feed].position >= 0);
     if (!isValid || !hasAll || !this.isInContact()) {
       res.writeHead(isValid ? SERVICE_UNAVAILABLE : NOT_FOUND).end();
--- a/test/gateway/feeds.test.ts
+++ b/test/gateway/feeds.test.ts
@@ -6,6 +6,7 @@
 import { systemClock } from '../../src/adapters/clock';
 import { listen } from '../../src/adapters/listen';
 import { encodeFeedFrame, FeedFrameDecoder } from '../../src/gateway/feed-frames';
+import { FeedRelay } from '../../src/gateway/feed-relay';
 import { Feeds } from '../../src/gateway/feeds';
 import type { Member } from '../../src/model';
 import {
@@ -17,7 +18,7 @@
 } from '../../platform';
 import { startStore, type StoreStandIn } from '../../standins/platform';
 
-import { freePorts, recordingTelemetry, settingsText } from './harness';
+import { freePorts, httpGet, recordingTelemetry, settingsText } from './harness';
 
 const ADDRESSES = ['127.0.0.1', '127.0.0.2', '127.0.0.3', '127.0.0.4'];
 
@@ -160,6 +161,19 @@
   });
 });
 
+describe('the server of the feeds', () => {
+  it('answers 404 to what is no subscription', async () => {
+    const relay = new FeedRelay(recordingTelemetry(), () => true);
+    const port = await freePorts(1);
+    await listen(relay.server, '127.0.0.1', port);
+    for (const target of ['//', '/feeds/1', '/feeds/1?config=x&upstreams=1', '/feeds/2?config=1']) {
+      expect((await httpGet(port, target)).status).toEqual(404);
+    }
+    expect((await httpGet(port, '/feeds/1?config=-1&upstreams=-1')).status).toEqual(503);
+    relay.close();
+  });
+});
+
 describe('frames of feeds', () => {
   it('survive any split of their bytes', () => {
     const page = {
