Log the rate limits that upstreams announce

The logs of the incident don't show which gateway learnt of a limit, or when, so that its three hypotheses can't be told apart.

Nothing is decided by it yet.

--- /dev/null
+++ b/src/core/announcements/index.ts
@@ -0,0 +1,2 @@
+export * from './upstream-terms';
+export * from './terms-registry';
--- a/src/core/gateway/host-groups.ts
+++ b/src/core/gateway/host-groups.ts
@@ -1,6 +1,9 @@
-import { MILLIS_PER_SECOND, type GatewayConfig, type ServiceName } from '../../model';
-
-import type { RequestsPerSecond } from './owners';
+import {
+  MILLIS_PER_SECOND,
+  type GatewayConfig,
+  type RequestsPerSecond,
+  type ServiceName,
+} from '../../model';
 
 /** A group of host names whose callers are sent to the same gateways. */
 export interface HostGroup {
--- a/src/core/gateway/owners.ts
+++ b/src/core/gateway/owners.ts
@@ -1,9 +1,6 @@
-import type { DataCentre, HostLimits, Member } from '../../model';
+import type { DataCentre, HostLimits, Member, RequestsPerSecond } from '../../model';
 import { hashOf, pairHash } from '../hash';
 
-/** A rate in requests per second. */
-export type RequestsPerSecond = number;
-
 /** Minimum number of owners of a host group in one data centre, so that one may fail. */
 const MIN_OWNER_COUNT = 2;
 /** Processor time in core-seconds that one request takes, including a margin for retries. */
--- /dev/null
+++ b/src/gateway/announcements.ts
@@ -0,0 +1,44 @@
+import type { TermsChange, TermsRegistry } from '../core/announcements';
+import type { GatewayUpstream } from '../model';
+
+import { headerOf, headersOf, type AnswerHead } from './answer-parser';
+import type { GatewayContext } from './context';
+
+/** Status of an answer by another upstream than the one that was addressed. */
+const MISDIRECTED = 421;
+
+/** Takes in what upstreams announce in their answers, and logs each change. */
+export class AnnouncementReader {
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly registry: TermsRegistry,
+  ) {}
+
+  /** Reads the head of any answer that came on a connection to an upstream. */
+  read(upstream: GatewayUpstream, { rawHeaders, status }: AnswerHead): void {
+    const { clock, telemetry, headerConventions } = this.context;
+    const announcement = headerConventions.parseAnnouncement((name) => headersOf(rawHeaders, name));
+    announcement.malformed.forEach((name) =>
+      telemetry.count('announcements_malformed', { announcement: name }),
+    );
+    if (announcement.rateLimit !== undefined)
+      telemetry.count('limited_answers', { service: upstream.service });
+    const genuine =
+      status !== MISDIRECTED && headerOf(rawHeaders, headerConventions.signature) !== undefined;
+    this.registry
+      .of(upstream)
+      .apply(announcement, { genuine }, clock.now())
+      .forEach((change) => this.log(upstream, change));
+  }
+
+  private log({ id, service }: GatewayUpstream, change: TermsChange): void {
+    const { rateLimit, before } = change;
+    this.context.telemetry.event(rateLimit === undefined ? 'limit-ended' : 'limit-announced', {
+      upstream: id,
+      service,
+      ...(rateLimit === undefined ? {} : { perSecond: rateLimit }),
+      ...(before === undefined ? {} : { beforePerSecond: before }),
+      source: 'answer',
+    });
+  }
+}
--- a/src/gateway/answer-parser.ts
+++ b/src/gateway/answer-parser.ts
@@ -75,7 +75,8 @@
   return undefined;
 };
 
-const allHeadersOf = (rawHeaders: readonly string[], name: string): readonly string[] =>
+/** Returns all values of a header, in order; `name` in lower case. */
+export const headersOf = (rawHeaders: readonly string[], name: string): readonly string[] =>
   rawHeaders.filter((_, i) => i % 2 === 1 && rawHeaders[i - 1]?.toLowerCase() === name);
 
 /** Statuses whose answers have no body. */
@@ -89,8 +90,8 @@
  * ambiguous.
  */
 const announcedLength = (rawHeaders: readonly string[]): number | undefined => {
-  const lengths = allHeadersOf(rawHeaders, 'content-length');
-  const codings = allHeadersOf(rawHeaders, 'transfer-encoding');
+  const lengths = headersOf(rawHeaders, 'content-length');
+  const codings = headersOf(rawHeaders, 'transfer-encoding');
   if (codings.length > 0) {
     const isChunked = codings.length === 1 && codings[0]?.toLowerCase() === 'chunked';
     if (!isChunked || lengths.length > 0)
--- a/src/gateway/connection-pool.ts
+++ b/src/gateway/connection-pool.ts
@@ -1,7 +1,8 @@
 import { IdleConnectionLimit } from '../core/gateway';
-import type { Endpoint, GatewayUpstream, Instant, Millis } from '../model';
+import type { GatewayUpstream, Instant, Millis } from '../model';
 import type { Clock } from '../ports';
 
+import type { AnswerHead } from './answer-parser';
 import { UpstreamConnection, type Exchange, type ExchangeResult } from './upstream-connection';
 
 /** Time-out in milliseconds to connect; a healthy upstream in the same region takes about 1 ms. */
@@ -46,6 +47,8 @@
   constructor(
     private readonly idHeader: string,
     private readonly clock: Clock,
+    /** Receives the head of every answer on a connection to the upstream. */
+    private readonly onAnswerHead: (upstream: GatewayUpstream, head: AnswerHead) => void,
   ) {}
 
   /** Sends a request on an idle connection that is safe to reuse, or else on a new one. */
@@ -54,7 +57,7 @@
     const key = keyOf(upstream);
     const connection = this.takeIdle(key, exchange.idempotent, now);
     const connectBy: Instant = Math.min(now + CONNECT_TIMEOUT_MS, exchange.deadline);
-    const used = connection ?? this.connect(key, upstream.endpoint);
+    const used = connection ?? this.connect(key, upstream);
     const result = await used.run(exchange, connectBy);
     if (result.kind === 'failed' && isStaleReset(result)) {
       this.idleLimit.recordReset(result.idleFor, this.clock.now());
@@ -77,12 +80,13 @@
     this.open.forEach((_key, connection) => connection.close());
   }
 
-  private connect(key: string, endpoint: Endpoint): UpstreamConnection {
+  private connect(key: string, upstream: GatewayUpstream): UpstreamConnection {
     this.connectCount += 1;
     const connection = new UpstreamConnection(
-      endpoint,
+      upstream.endpoint,
       this.idHeader,
       this.clock,
+      (head) => this.onAnswerHead(upstream, head),
       (idle) => {
         const list = this.idle.get(key) ?? [];
         list.push(idle);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,6 +1,7 @@
 import type { Server } from 'node:http';
 
 import { listen } from '../adapters/listen';
+import { TermsRegistry } from '../core/announcements';
 import { HostGroups, HostRoutes, WeightedRoundRobin, type UpstreamChange } from '../core/gateway';
 import {
   MILLIS_PER_SECOND,
@@ -12,6 +13,7 @@
 } from '../model';
 import type { ConfigFeedItem, DirectoryCodec, Feed, ReadinessCodec, RecordDecoder } from '../ports';
 
+import { AnnouncementReader } from './announcements';
 import type { RequestContext } from './attempt';
 import { ProxiedRequest, type GatewayReply } from './proxied-request';
 import { CallerServer } from './caller-server';
@@ -89,7 +91,10 @@
     ports: GatewayPorts,
   ) {
     const { settings, clock, telemetry, headerConventions } = context;
-    this.pool = new ConnectionPool(headerConventions.requestId, clock);
+    const announcements = new AnnouncementReader(context, new TermsRegistry());
+    this.pool = new ConnectionPool(headerConventions.requestId, clock, (upstream, head) =>
+      announcements.read(upstream, head),
+    );
     const { configFeed, upstreamFeed } = ports;
     this.feeds = new Feeds(context, {
       configFeed,
--- a/src/gateway/upstream-connection.ts
+++ b/src/gateway/upstream-connection.ts
@@ -106,6 +106,7 @@
     endpoint: Endpoint,
     private readonly idHeader: string,
     private readonly clock: Clock,
+    private readonly onAnswerHead: (head: AnswerHead) => void,
     private readonly onIdle: (connection: UpstreamConnection) => void,
     private readonly onClose: (connection: UpstreamConnection) => void,
   ) {
@@ -203,6 +204,7 @@
   }
 
   private onHead(head: AnswerHead): void {
+    this.onAnswerHead(head);
     const { running } = this;
     if (!running) {
       this.unusable = true;
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -13,3 +13,4 @@
 export * from './settings';
 export * from './gateway';
 export * from './feed';
+export * from './announcement';
--- a/src/ports/header-conventions.ts
+++ b/src/ports/header-conventions.ts
@@ -1,3 +1,5 @@
+import type { UpstreamAnnouncement } from '../model';
+
 /**
  * The names (in lower case) and formats of the headers that gateways exchange with callers and
  * upstreams.
@@ -17,6 +19,8 @@
   readonly notRun: string;
   /** Parses the load that an upstream reports in an answer's headers, if any. */
   parseLoad(header: (name: string) => string | undefined): UpstreamLoad | undefined;
+  /** Parses what an upstream announces; `headers` returns all values of a header. */
+  parseAnnouncement(headers: (name: string) => readonly string[]): UpstreamAnnouncement;
 }
 
 /** The numbers of requests at an upstream, as it reports them. */
--- a/test/gateway/connection-pool.test.ts
+++ b/test/gateway/connection-pool.test.ts
@@ -33,7 +33,7 @@
   });
 
   it('closes a connection in use at its end if its upstream has left meanwhile', async () => {
-    const pool = new ConnectionPool(ID_HEADER, clock);
+    const pool = new ConnectionPool(ID_HEADER, clock, () => {});
     const { port } = server.address() as AddressInfo;
     const upstream: GatewayUpstream = {
       id: 'u',
