--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -60,6 +60,8 @@
   mood: UpstreamFaultMode;
   /** Time in milliseconds that a request takes. */
   work: number;
+  /** Header lines that all its answers carry, such as `Server-Limit: 2`. */
+  announces: readonly string[];
   /** Requests that started to run, in order. */
   readonly runs: ReceivedRequest[];
   /** Ids of requests whose connection closed while they ran. */
@@ -98,6 +100,8 @@
 
   work = 5;
 
+  announces: readonly string[] = [];
+
   readonly runs: ReceivedRequest[] = [];
 
   readonly cancelled: string[] = [];
@@ -159,10 +163,14 @@
     });
   }
 
+  private announcedLines(): string {
+    return this.announces.map((line) => `${line}\r\n`).join('');
+  }
+
   /** Responds to a request that has run, as the fault mode says. */
   private writeResponse(socket: Socket, request: ReceivedRequest): void {
     const body = `${this.id} ${request.id}`;
-    const response = okResponse(request.id, body);
+    const response = okResponse(request.id, body, this.announces);
     switch (this.mood) {
       case 'well':
       case 'sheds':
@@ -222,13 +230,13 @@
     const target = headerOf(request.head, 'X-Redwingmount-Target-Instance');
     if (target !== '' && target !== this.id) {
       socket.write(
-        `HTTP/1.1 421 Misdirected Request\r\nX-Redwingmount-Instance-Id: ${this.id}\r\nContent-Length: 0\r\n\r\n`,
+        `HTTP/1.1 421 Misdirected Request\r\nX-Redwingmount-Instance-Id: ${this.id}\r\n${this.announcedLines()}Content-Length: 0\r\n\r\n`,
       );
       return;
     }
     if (this.mood === 'sheds') {
       socket.write(
-        'HTTP/1.1 503 Service Unavailable\r\nX-Redwingmount-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n',
+        `HTTP/1.1 503 Service Unavailable\r\nX-Redwingmount-Not-Executed: 1\r\n${this.announcedLines()}Content-Length: 0\r\n\r\n`,
       );
       return;
     }
