Keep to the rate limits that upstreams announce

Cause: what an upstream says of itself in an answer was passed on to the caller and read by nothing but the parser of the load header. The class of fault is a contract stated in answers that no decision takes as its input. Ruled out by the red test: one gateway alone already broke the bound, with unsafe requests, which are neither repeated nor hedged.

Change: the terms of each run of an upstream pace this host's requests. First attempts, repeats, hedges and coverage all pass them, as they are part of the choice of an upstream. Owners tell each other limits with their observations and beliefs. When all upstreams hold a request back, it is refused at once (held-back), with the time until the next one may go.

--- a/src/core/announcements/index.ts
+++ b/src/core/announcements/index.ts
@@ -1,2 +1,4 @@
+export * from './sending-hosts';
+export * from './sending-host-history';
 export * from './upstream-terms';
 export * from './terms-registry';
--- a/src/core/announcements/terms-registry.ts
+++ b/src/core/announcements/terms-registry.ts
@@ -15,11 +15,17 @@
     { readonly born: number; readonly terms: UpstreamTerms }
   >();
 
+  /** Returns the terms of an upstream's run; undefined if it is not the one last asked for. */
+  find({ id, born }: Pick<GatewayUpstream, 'id' | 'born'>): UpstreamTerms | undefined {
+    const known = this.termsById.get(id);
+    return known?.born === born ? known.terms : undefined;
+  }
+
   /** Returns the terms of an upstream's run; a new run starts without any. */
   of({ id, born }: Pick<GatewayUpstream, 'id' | 'born'>): UpstreamTerms {
     const known = this.termsById.get(id);
     if (known?.born === born) return known.terms;
-    const terms = new UpstreamTerms();
+    const terms = new UpstreamTerms(id);
     this.termsById.delete(id);
     this.termsById.set(id, { born, terms });
     if (this.termsById.size > MAX_KEPT_COUNT) {
--- a/src/core/placement/choose-upstream.ts
+++ b/src/core/placement/choose-upstream.ts
@@ -151,14 +151,17 @@
     ({ upstream }) => upstream.state === 'ready' && !request.tried.has(upstream.id),
   );
   if (ready.length === 0) return { kind: 'none' };
-  const available = ready.filter(
+  const heldUntil = ready.map(({ terms }) => terms.heldUntil(context.sendingHosts));
+  const open = ready.filter((_, i) => now >= (heldUntil[i] ?? now));
+  if (open.length === 0) return { kind: 'held', until: Math.min(...heldUntil) };
+  const available = open.filter(
     (stats) => !stats.isAvoided(now) && hasCapacity(stats, request, now),
   );
   if (available.length === 0) return { kind: 'full' };
   if (request.tried.size === 0 && context.isOwner) {
     const newcomer = findNewcomer(available, now);
     if (newcomer) return { kind: 'send', stats: newcomer, why: 'newcomer' };
-    const next = context.coverageAllowed ? findUpstreamToCover(ready, context) : undefined;
+    const next = context.coverageAllowed ? findUpstreamToCover(open, context) : undefined;
     if (next && hasCapacity(next, request, now)) return { kind: 'send', stats: next, why: 'cover' };
   }
   const best = minBy(
@@ -166,7 +169,7 @@
     (stats) => expectedCost(stats, request, context) + MAX_COST_JITTER * context.random(),
   );
   if (!best) return { kind: 'full' };
-  if (isWorthWaiting(best, ready, request, context)) return { kind: 'full' };
+  if (isWorthWaiting(best, open, request, context)) return { kind: 'full' };
   const why =
     failureProbability(best.belief, now) <= MAX_PROVEN_FAILURE_PROBABILITY ? 'proven' : 'trial';
   return { kind: 'send', stats: best, why };
--- a/src/core/placement/load-balancer.ts
+++ b/src/core/placement/load-balancer.ts
@@ -7,6 +7,15 @@
   UpstreamId,
 } from '../../model';
 
+import {
+  SendingHosts,
+  UpstreamTerms,
+  fromLimitNews,
+  toLimitNews,
+  type LimitNews,
+  type TermsChange,
+} from '../announcements';
+
 import { chooseUpstream } from './choose-upstream';
 import { faultProbabilityAt, PRIOR_BELIEF, type EvidenceKind } from './fault-model';
 import type { Placement, PlacementRequest } from './placement';
@@ -37,6 +46,8 @@
   readonly evidence: EvidenceKind;
   /** Milliseconds from the start of the attempt to this message. */
   readonly sentAgo: Millis;
+  /** The limit that the upstream announces; absent if it never announced one. */
+  readonly limit?: LimitNews | undefined;
 }
 
 /** A node's estimate that an upstream is faulty, as told to other nodes. */
@@ -46,8 +57,24 @@
   readonly born: number;
   /** Probability, from 0 to 1, that the upstream is faulty. */
   readonly ill: number;
+  /** The limit that the upstream announces; absent if it never announced one. */
+  readonly limit?: LimitNews | undefined;
+}
+
+/** What a balancer asks about the limits that upstreams announce. */
+export interface TermsSource {
+  /** Returns the terms of an upstream's run. */
+  termsOf(upstream: GatewayUpstream): UpstreamTerms;
+  /** Returns the hosts that share the limits of the service's upstreams. */
+  sendingHosts(now: Instant): SendingHosts;
 }
 
+/** Terms for a host that sends alone. */
+const createTermsOfOneHost = (): TermsSource => {
+  const hosts = new SendingHosts(['self'], 'self', Number.NEGATIVE_INFINITY);
+  return { termsOf: ({ id }) => new UpstreamTerms(id), sendingHosts: () => hosts };
+};
+
 /** Time in milliseconds since its last request within which a service counts as active. */
 const ACTIVE_SERVICE_WINDOW_MS: Millis = 2000;
 /**
@@ -76,6 +103,7 @@
     private readonly dataCentre: DataCentre,
     private readonly minCoverageRatio: () => number,
     private readonly random: () => number,
+    private readonly termsSource: TermsSource = createTermsOfOneHost(),
   ) {}
 
   get size(): number {
@@ -88,15 +116,17 @@
   }
 
   /**
-   * Returns the expected number of slots at healthy upstreams that are ready; it need not be whole.
+   * Returns the expected number of slots at healthy upstreams that are ready and take requests; it
+   * need not be whole.
    */
   slots(now: Instant): number {
-    return this.allStats.reduce(
-      (sum, { upstream, belief }) =>
-        sum +
-        (upstream.state === 'ready' ? upstream.slots * (1 - faultProbabilityAt(belief, now)) : 0),
-      0,
-    );
+    const hosts = this.termsSource.sendingHosts(now);
+    return this.allStats
+      .filter(({ upstream, terms }) => upstream.state === 'ready' && now >= terms.heldUntil(hosts))
+      .reduce(
+        (sum, { upstream, belief }) => sum + upstream.slots * (1 - faultProbabilityAt(belief, now)),
+        0,
+      );
   }
 
   all(): readonly UpstreamStats[] {
@@ -115,6 +145,7 @@
         new UpstreamStats(
           upstream,
           now - this.lastPlacedAt > ACTIVE_SERVICE_WINDOW_MS ? undefined : now,
+          this.termsSource.termsOf(upstream),
         ),
       );
     this.allStats = [...this.statsById.values()];
@@ -140,6 +171,7 @@
       now,
       dataCentre: this.dataCentre,
       isOwner,
+      sendingHosts: this.termsSource.sendingHosts(now),
       random: this.random,
       minCoverageRatio: this.minCoverageRatio(),
       coverageAllowed: this.requestsSinceCoverage >= REQUESTS_BETWEEN_COVERAGE_COUNT,
@@ -153,18 +185,24 @@
   /** Returns this node's beliefs at `now` about the upstreams it has evidence or a belief of. */
   beliefs(now: Instant): readonly UpstreamBelief[] {
     return this.allStats
-      .filter(({ belief }) => belief !== PRIOR_BELIEF)
-      .map(({ upstream, belief }) => ({
+      .filter(({ belief, terms }) => belief !== PRIOR_BELIEF || terms.limit)
+      .map(({ upstream, belief, terms }) => ({
         id: upstream.id,
         born: upstream.born,
         ill: faultProbabilityAt(belief, now),
+        ...(terms.limit ? { limit: toLimitNews(terms.limit, now) } : {}),
       }));
   }
 
-  /** Adopts another node's belief about an upstream that this node has none of. */
-  adoptBelief({ id, born, ill }: UpstreamBelief, now: Instant): void {
+  /**
+   * Adopts another node's belief about an upstream that this node has none of, and its news of the
+   * upstream's limit; returns what has changed in its terms.
+   */
+  adoptBelief({ id, born, ill, limit }: UpstreamBelief, now: Instant): readonly TermsChange[] {
     const stats = this.statsById.get(id);
-    if (stats?.upstream.born === born) stats.adoptBelief(ill, now);
+    if (stats?.upstream.born !== born) return [];
+    stats.adoptBelief(ill, now);
+    return limit ? stats.terms.adoptLimit(fromLimitNews(limit, now)) : [];
   }
 
   /** Returns the mean latency of a route's answers in milliseconds. */
@@ -192,11 +230,18 @@
     });
   }
 
-  /** Applies another node's observation, unless it is about another run of the upstream. */
-  applyObservation({ id, born, evidence, sentAgo }: UpstreamObservation, now: Instant): void {
+  /**
+   * Applies another node's observation, unless it is about another run of the upstream; returns
+   * what has changed in the upstream's terms.
+   */
+  applyObservation(
+    { id, born, evidence, sentAgo, limit }: UpstreamObservation,
+    now: Instant,
+  ): readonly TermsChange[] {
     const stats = this.statsById.get(id);
-    if (!stats || stats.upstream.born !== born) return;
+    if (!stats || stats.upstream.born !== born) return [];
     stats.lastSentAt = Math.max(stats.lastSentAt, now - sentAgo);
     stats.applyEvidence(evidence, now);
+    return limit ? stats.terms.adoptLimit(fromLimitNews(limit, now)) : [];
   }
 }
--- a/src/core/placement/placement.ts
+++ b/src/core/placement/placement.ts
@@ -1,4 +1,5 @@
 import type { DataCentre, Instant, Millis, UpstreamId } from '../../model';
+import type { SendingHosts } from '../announcements';
 
 import type { UpstreamStats } from './upstream-stats';
 
@@ -35,6 +36,11 @@
    * Every ready upstream is full or avoided for a moment, or it is better to wait for another one.
    */
   | { readonly kind: 'full' }
+  /**
+   * All ready upstreams have announced terms that let this host send them nothing before `until`;
+   * Infinity if that is left to other hosts.
+   */
+  | { readonly kind: 'held'; readonly until: Instant }
   /** No upstream is ready that the request has not been sent to. */
   | { readonly kind: 'none' };
 
@@ -44,6 +50,8 @@
   readonly dataCentre: DataCentre;
   /** Whether this node is an owner of the service and receives the other owners' observations. */
   readonly isOwner: boolean;
+  /** The hosts that share the limits which upstreams of the service announce. */
+  readonly sendingHosts: SendingHosts;
   /**
    * Returns a number from 0 up to but excluding 1; spreads requests over equally good upstreams.
    */
--- a/src/core/placement/upstream-stats.ts
+++ b/src/core/placement/upstream-stats.ts
@@ -1,4 +1,5 @@
 import type { GatewayUpstream, Instant, Millis } from '../../model';
+import { UpstreamTerms } from '../announcements';
 
 import { updateBelief, PRIOR_BELIEF, type FaultBelief, type EvidenceKind } from './fault-model';
 
@@ -59,6 +60,8 @@
      * Time at which the upstream joined a service with recent requests; undefined if that had none.
      */
     readonly joinedAt: Instant | undefined,
+    /** The terms that the upstream has announced. */
+    readonly terms: UpstreamTerms = new UpstreamTerms(entry.id),
   ) {}
 
   /** The latest entry of the upstream. */
@@ -98,6 +101,7 @@
   attemptStarted(requestId: string, now: Instant, overdueAt: Instant): void {
     this.inFlightRequests.set(requestId, { startedAt: now, overdueAt });
     this.lastSentAt = now;
+    this.terms.recordSend(now);
   }
 
   /** Returns the number of this node's requests whose answers are overdue. */
--- a/src/gateway/announcements.ts
+++ b/src/gateway/announcements.ts
@@ -1,5 +1,6 @@
 import type { TermsChange, TermsRegistry } from '../core/announcements';
 import type { GatewayUpstream } from '../model';
+import type { Telemetry } from '../ports';
 
 import { headerOf, headersOf, type AnswerHead } from './answer-parser';
 import type { GatewayContext } from './context';
@@ -7,6 +8,23 @@
 /** Status of an answer by another upstream than the one that was addressed. */
 const MISDIRECTED = 421;
 
+/** Logs changes of an upstream's terms, learnt from its answer or from another gateway. */
+export const logTermsChanges = (
+  telemetry: Telemetry,
+  { id, service }: Pick<GatewayUpstream, 'id' | 'service'>,
+  changes: readonly TermsChange[],
+  source: 'answer' | 'peer',
+): void =>
+  changes.forEach(({ rateLimit, before }) =>
+    telemetry.event(rateLimit === undefined ? 'limit-ended' : 'limit-announced', {
+      upstream: id,
+      service,
+      ...(rateLimit === undefined ? {} : { perSecond: rateLimit }),
+      ...(before === undefined ? {} : { beforePerSecond: before }),
+      source,
+    }),
+  );
+
 /** Takes in what upstreams announce in their answers, and logs each change. */
 export class AnnouncementReader {
   constructor(
@@ -25,20 +43,7 @@
       telemetry.count('limited_answers', { service: upstream.service });
     const genuine =
       status !== MISDIRECTED && headerOf(rawHeaders, headerConventions.signature) !== undefined;
-    this.registry
-      .of(upstream)
-      .apply(announcement, { genuine }, clock.now())
-      .forEach((change) => this.log(upstream, change));
-  }
-
-  private log({ id, service }: GatewayUpstream, change: TermsChange): void {
-    const { rateLimit, before } = change;
-    this.context.telemetry.event(rateLimit === undefined ? 'limit-ended' : 'limit-announced', {
-      upstream: id,
-      service,
-      ...(rateLimit === undefined ? {} : { perSecond: rateLimit }),
-      ...(before === undefined ? {} : { beforePerSecond: before }),
-      source: 'answer',
-    });
+    const changes = this.registry.find(upstream)?.apply(announcement, { genuine }, clock.now());
+    if (changes) logTermsChanges(telemetry, upstream, changes, 'answer');
   }
 }
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -2,12 +2,23 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
 import { capacityOf, ownersOf, type HostGroup, type HostGroups } from '../core/gateway';
+import type { TermsChange } from '../core/announcements';
 import { decodeMembershipMessage, Membership, type MembershipEvent } from '../core/membership';
 import type { EvidenceKind, UpstreamStats } from '../core/placement';
-import type { DataCentre, Incarnation, Instant, Member, Millis, ServiceName } from '../model';
-
+import type {
+  DataCentre,
+  Incarnation,
+  Instant,
+  Member,
+  Millis,
+  ServiceName,
+  UpstreamId,
+} from '../model';
+
+import { logTermsChanges } from './announcements';
 import type { GatewayContext } from './context';
 import { DATAGRAM_VERSION, type FeedPositions, type PeerTopic } from './datagram';
+import { LimitSharing } from './limit-sharing';
 import { DatagramLink } from './peer-link';
 import type { ServiceScheduler } from './service-scheduler';
 import {
@@ -68,6 +79,9 @@
   /** For each service that this gateway owns, the other owners that it has asked for beliefs. */
   private readonly askedOwnersByService = new Map<ServiceName, ReadonlySet<Incarnation>>();
 
+  /** Tells the hosts that share the limits which upstreams announce. */
+  readonly limitSharing: LimitSharing;
+
   private tickTimer: NodeJS.Timeout | undefined;
 
   /** Until this time, a gateway that knows no other member gives callers no addresses. */
@@ -78,6 +92,11 @@
     private readonly service: FleetService,
   ) {
     const { settings, clock, telemetry } = context;
+    this.limitSharing = new LimitSharing(
+      context,
+      (name) => this.ownersFor(name),
+      () => this.members,
+    );
     this.link = new DatagramLink(telemetry, {
       feedPositions: () => service.feedPositions(),
       onPeerPositions: (positions) => service.onPeerPositions(positions),
@@ -196,6 +215,7 @@
           members: this.members.length,
         });
       }
+      this.limitSharing.update(name);
       if (isOwner) this.requestBeliefs(name);
       else this.askedOwnersByService.delete(name);
     });
@@ -262,7 +282,10 @@
         const message = decodeObservations(body);
         if (!message) telemetry.count('datagrams_refused', { reason: 'sightings' });
         const balancer = message && this.service.schedulers().get(message.service)?.balancer;
-        message?.sightings.forEach((sighting) => balancer?.applyObservation(sighting, clock.now()));
+        message?.sightings.forEach((sighting) => {
+          const changes = balancer?.applyObservation(sighting, clock.now()) ?? [];
+          this.logTermsChanges(message.service, sighting.id, changes);
+        });
         return;
       }
       case 'beliefs': {
@@ -278,7 +301,10 @@
     const balancer = this.service.schedulers().get(message.service)?.balancer;
     switch (message.kind) {
       case 'told':
-        message.beliefs.forEach((belief) => balancer?.adoptBelief(belief, now));
+        message.beliefs.forEach((belief) => {
+          const changes = balancer?.adoptBelief(belief, now) ?? [];
+          this.logTermsChanges(message.service, belief.id, changes);
+        });
         return;
       case 'wanted':
         createBeliefMessages(message.service, balancer?.beliefs(now) ?? []).forEach((told) =>
@@ -287,6 +313,14 @@
     }
   }
 
+  private logTermsChanges(
+    service: ServiceName,
+    id: UpstreamId,
+    changes: readonly TermsChange[],
+  ): void {
+    logTermsChanges(this.context.telemetry, { id, service }, changes, 'peer');
+  }
+
   /** Applies an event to the membership and carries out its effects. */
   private applyEvent(event: MembershipEvent): void {
     this.membership.apply(event, this.context.clock.now()).effects.forEach((effect) => {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -60,6 +60,8 @@
 
   private readonly registry: UpstreamRegistry;
 
+  private readonly terms = new TermsRegistry();
+
   private readonly roundRobin = new WeightedRoundRobin();
 
   private readonly pool: ConnectionPool;
@@ -91,7 +93,7 @@
     ports: GatewayPorts,
   ) {
     const { settings, clock, telemetry, headerConventions } = context;
-    const announcements = new AnnouncementReader(context, new TermsRegistry());
+    const announcements = new AnnouncementReader(context, this.terms);
     this.pool = new ConnectionPool(headerConventions.requestId, clock, (upstream, head) =>
       announcements.read(upstream, head),
     );
@@ -256,8 +258,14 @@
   private scheduler(service: ServiceName): ServiceScheduler {
     const known = this.schedulers.get(service);
     if (known) return known;
-    const scheduler = new ServiceScheduler(service, this.context, () =>
-      this.fleet.isOwnerOf(service),
+    const scheduler = new ServiceScheduler(
+      service,
+      this.context,
+      () => this.fleet.isOwnerOf(service),
+      {
+        termsOf: (upstream) => this.terms.of(upstream),
+        sendingHosts: (now) => this.fleet.limitSharing.hostsOf(service, now),
+      },
     );
     this.schedulers.set(service, scheduler);
     return scheduler;
--- /dev/null
+++ b/src/gateway/limit-sharing.ts
@@ -0,0 +1,30 @@
+import { SendingHostHistory, type SendingHosts } from '../core/announcements';
+import type { Instant, Member, ServiceName } from '../model';
+
+import type { GatewayContext } from './context';
+
+/** Tells, for each service, the hosts that share the limits which its upstreams announce. */
+export class LimitSharing {
+  private readonly historyByService = new Map<ServiceName, SendingHostHistory>();
+
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly ownersFor: (service: ServiceName) => readonly Member[],
+    private readonly members: () => readonly Member[],
+  ) {}
+
+  /** Returns the hosts that share the limits of a service's upstreams at `now`. */
+  hostsOf(service: ServiceName, now: Instant): SendingHosts {
+    return (this.historyByService.get(service) ?? this.update(service)).at(now);
+  }
+
+  /** Takes in a change of the members or of the service's owners. */
+  update(service: ServiceName): SendingHostHistory {
+    const now = this.context.clock.now();
+    const { address } = this.context.settings.listen.callers;
+    const history = this.historyByService.get(service) ?? new SendingHostHistory(address, now);
+    this.historyByService.set(service, history);
+    history.update(this.ownersFor(service), this.members(), now);
+    return history;
+  }
+}
--- a/src/gateway/observations.ts
+++ b/src/gateway/observations.ts
@@ -1,3 +1,4 @@
+import { toLimitNews, type AnnouncedLimit, type LimitNews } from '../core/announcements';
 import type {
   UpstreamBelief,
   EvidenceKind,
@@ -12,6 +13,7 @@
   isString,
   type Instant,
   type Millis,
+  type RequestsPerSecond,
   type ServiceName,
 } from '../model';
 import type { Clock } from '../ports';
@@ -40,13 +42,20 @@
   'slow',
 ]);
 
+const isLimitNews = (value: unknown): value is LimitNews =>
+  isObject(value) &&
+  (value.perSecond === null || (isFiniteNumber(value.perSecond) && value.perSecond >= 0)) &&
+  isFiniteNumber(value.heardAgo) &&
+  value.heardAgo >= 0;
+
 const isObservation = (value: unknown): value is UpstreamObservation =>
   isObject(value) &&
   isString(value.id) &&
   isCount(value.born) &&
   EVIDENCE_KINDS.has(value.evidence) &&
   isFiniteNumber(value.sentAgo) &&
-  value.sentAgo >= 0;
+  value.sentAgo >= 0 &&
+  (value.limit === undefined || isLimitNews(value.limit));
 
 /** Decodes a message of topic `sightings`; undefined if it is malformed. */
 export const decodeObservations = (body: unknown): ObservationsMessage | undefined => {
@@ -73,7 +82,8 @@
   isCount(value.born) &&
   isFiniteNumber(value.ill) &&
   value.ill >= 0 &&
-  value.ill <= 1;
+  value.ill <= 1 &&
+  (value.limit === undefined || isLimitNews(value.limit));
 
 /** Decodes a message of topic `beliefs`; undefined if it is malformed. */
 export const decodeBeliefs = (body: unknown): BeliefsMessage | undefined => {
@@ -104,8 +114,9 @@
 };
 
 /** An observation that has not been sent, with the time at which its attempt began. */
-interface UnsentObservation extends Omit<UpstreamObservation, 'sentAgo'> {
+interface UnsentObservation extends Omit<UpstreamObservation, 'sentAgo' | 'limit'> {
   readonly sentAt: Instant;
+  readonly limit: AnnouncedLimit | undefined;
 }
 
 /** Collects the observations of this gateway and sends them in batches. */
@@ -115,6 +126,9 @@
   /** When the last good answer of an upstream was queued; absent after a failure. */
   private readonly goodSentAt = new WeakMap<UpstreamStats, Instant>();
 
+  /** The limit of an upstream in the last observation of it. */
+  private readonly toldLimit = new WeakMap<UpstreamStats, RequestsPerSecond | undefined>();
+
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -128,6 +142,7 @@
     const isGood = evidence === 'good';
     if (
       isGood &&
+      this.toldLimit.get(stats) === stats.terms.limit?.rate &&
       now - (this.goodSentAt.get(stats) ?? Number.NEGATIVE_INFINITY) < GOOD_REPORT_INTERVAL_MS
     ) {
       return;
@@ -136,7 +151,9 @@
     else this.goodSentAt.delete(stats);
     const sightings = this.unsent.get(service) ?? [];
     const { id, born } = stats.upstream;
-    sightings.push({ id, born, evidence, sentAt });
+    const { limit } = stats.terms;
+    sightings.push({ id, born, evidence, sentAt, limit });
+    this.toldLimit.set(stats, limit?.rate);
     this.unsent.set(service, sightings);
     if (!isGood || sightings.length >= MAX_ITEMS_PER_MESSAGE_COUNT) this.flush();
     else this.timer ??= setTimeout(() => this.flush(), GOOD_REPORT_INTERVAL_MS);
@@ -151,8 +168,9 @@
     this.timer = undefined;
     const now = this.clock.now();
     this.unsent.forEach((unsent, service) => {
-      const sightings = unsent.map(({ sentAt, ...seen }) => ({
+      const sightings = unsent.map(({ sentAt, limit, ...seen }) => ({
         ...seen,
+        ...(limit ? { limit: toLimitNews(limit, now) } : {}),
         sentAgo: Math.max(0, Math.round(now - sentAt)),
       }));
       this.send({ service, sightings });
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -104,7 +104,7 @@
         case 'none':
           return this.finalReply('no-upstream', NO_UPSTREAM_RETRY_AFTER_MS);
         case 'refused':
-          return this.finalReply('no-room', placed.retryAfter);
+          return this.finalReply(placed.why, placed.retryAfter);
         case 'send': {
           const ended = await this.attemptWithHedge(placed.stats, placed.why);
           if (ended.reply) return ended.reply;
--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/service-scheduler.ts
@@ -3,6 +3,7 @@
   LoadBalancer,
   type Placement,
   type PlacementRequest,
+  type TermsSource,
   type UpstreamStats,
 } from '../core/placement';
 import { RequestQueue, type QueuedRequest } from '../core/waiting';
@@ -22,6 +23,12 @@
  */
 const COVER_MARGIN_RATIO = 0.15;
 
+/**
+ * Longest Retry-After in milliseconds for a request that announced terms hold back; other gateways
+ * may be able to send it.
+ */
+const MAX_HELD_RETRY_AFTER_MS: Millis = 1000;
+
 /** Number of queued requests that may fail to be placed before a drain of the queue stops. */
 const MAX_FAILED_PLACEMENT_COUNT = 3;
 
@@ -37,7 +44,13 @@
 export type PlacementResult =
   | Extract<Placement, { kind: 'send' }>
   | { readonly kind: 'none' }
-  | { readonly kind: 'refused'; readonly retryAfter: Millis; readonly waited: Millis }
+  | {
+      readonly kind: 'refused';
+      /** `held-back` if the upstreams' announcements allow no request before `retryAfter`. */
+      readonly why: 'no-room' | 'held-back';
+      readonly retryAfter: Millis;
+      readonly waited: Millis;
+    }
   | { readonly kind: 'cancelled' };
 
 /** Functions of the scheduler that a queued request calls. */
@@ -103,11 +116,12 @@
     readonly name: ServiceName,
     private readonly context: GatewayContext,
     private readonly isOwner: () => boolean,
+    termsSource?: TermsSource,
   ) {
     const coverShare = (): number =>
       Math.min(1, context.settings.bounds.floorShare + COVER_MARGIN_RATIO);
     const { dataCentre } = context.settings;
-    this.balancer = new LoadBalancer(name, dataCentre, coverShare, context.random);
+    this.balancer = new LoadBalancer(name, dataCentre, coverShare, context.random, termsSource);
     this.retryBudget = new WindowedRetryBudget(() => context.settings.bounds, context.clock.now());
   }
 
@@ -129,7 +143,12 @@
     if (admission.kind === 'refuse') {
       const last = this.placeNow({ ...request, lastResort: true }, requestId);
       return Promise.resolve(
-        last ?? { kind: 'refused', retryAfter: admission.retryAfter, waited: 0 },
+        last ?? {
+          kind: 'refused',
+          why: 'no-room',
+          retryAfter: admission.retryAfter,
+          waited: 0,
+        },
       );
     }
     return new Promise((resolve) => {
@@ -138,6 +157,7 @@
         lastResort: () =>
           this.placeNow({ ...request, lastResort: true }, requestId) ?? {
             kind: 'refused',
+            why: 'no-room',
             retryAfter: this.queue.expectedWait(request.priority, load, this.context.clock.now()),
             waited: this.context.clock.now() - now,
           },
@@ -206,6 +226,15 @@
         return { kind: 'none' };
       case 'full':
         return undefined;
+      case 'held':
+        // A wait beyond the time at which the request is to start would be in vain.
+        if (placement.until <= request.startBy && !request.lastResort) return undefined;
+        return {
+          kind: 'refused',
+          why: 'held-back',
+          retryAfter: Math.min(placement.until - now, MAX_HELD_RETRY_AFTER_MS),
+          waited: now - request.arrivedAt,
+        };
     }
   }
 
--- a/test/core/placement/choose.test.ts
+++ b/test/core/placement/choose.test.ts
@@ -3,6 +3,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
+import { SendingHosts } from '../../../src/core/announcements';
 import {
   chooseUpstream,
   failureProbability,
@@ -50,6 +51,7 @@
   random: () => 0,
   minCoverageRatio: 0.76,
   coverageAllowed: false,
+  sendingHosts: new SendingHosts(['a'], 'a', 0),
   ...more,
 });
 
@@ -256,8 +258,9 @@
     );
     const ids = ['u0', 'u1', 'u2', 'u3'];
     ids.forEach((id) => balancer.put(upstream(id), 0));
-    const applyGood = (id: string, sentAgo: number): void =>
+    const applyGood = (id: string, sentAgo: number): void => {
       balancer.applyObservation({ id, born: 1, evidence: 'good', sentAgo }, 5000);
+    };
     ids.forEach((id) => applyGood(id, id === 'u2' ? 1200 : 0));
     const placeAt = (now: number): readonly string[] =>
       Array.from({ length: 5 }, () => {
