Follow the pauses and departures that upstreams announce

Seen in tests: an upstream that answered 503 with Retry-After 2.5 s got more than two requests between 0.5 s after it and the end of that time; one that answered with Server-Leaving: 1 while its registration stayed ready got 34 requests later than 2 s after that answer.

What an upstream states in an answer was not an input of any decision; Retry-After was only passed on, and an upstream that shed a request was avoided for 150 ms whatever it asked for.

Change: platform/ decodes both headers; the terms of a run of an upstream hold until when it wants nothing (the latest end that it named) and whether it leaves (for the rest of the run, whatever the registry says). The choice of an upstream passes them, and they are asked again once a connection is made, as the announcement may arrive meanwhile; such a request ends as not run and goes elsewhere outside the retry budget. When all upstreams pause, a request is refused at once with the end of the earliest pause.

The three tests were red before and pass now; 157 tests of gateway, platform, placement and announcements pass.

--- a/src/core/announcements/upstream-terms.ts
+++ b/src/core/announcements/upstream-terms.ts
@@ -38,12 +38,16 @@
 ): AnnouncedLimit => ({ rate: perSecond ?? undefined, heardAt: now - heardAgo });
 
 /** A change of an upstream's terms. */
-export interface TermsChange {
-  readonly kind: 'limit';
-  /** The limit before and now; undefined where there is none. */
-  readonly before: RequestsPerSecond | undefined;
-  readonly rateLimit: RequestsPerSecond | undefined;
-}
+export type TermsChange =
+  | {
+      readonly kind: 'limit';
+      /** The limit before and now; undefined where there is none. */
+      readonly before: RequestsPerSecond | undefined;
+      readonly rateLimit: RequestsPerSecond | undefined;
+    }
+  /** The upstream wants nothing from this host for `pause` milliseconds. */
+  | { readonly kind: 'pause'; readonly pause: Millis }
+  | { readonly kind: 'leaving' };
 
 /** This host's part of a limit: its requests are at least about `interval` apart. */
 interface LimitShare {
@@ -58,6 +62,11 @@
 export class UpstreamTerms {
   private announced: AnnouncedLimit | undefined;
 
+  /** Until when the upstream wants nothing from this host. */
+  private pausedUntil: Instant = Number.NEGATIVE_INFINITY;
+
+  private leaves = false;
+
   private share: LimitShare | undefined;
 
   private lastSentAt: Instant = Number.NEGATIVE_INFINITY;
@@ -71,6 +80,11 @@
     this.idHash = hashOf(id);
   }
 
+  /** Whether the upstream has said that it leaves; this holds for the rest of its run. */
+  get isLeaving(): boolean {
+    return this.leaves;
+  }
+
   /** The limit as last announced; undefined if none ever was. */
   get limit(): AnnouncedLimit | undefined {
     return this.announced;
@@ -81,12 +95,21 @@
    * limit by naming none, as others may leave headers out.
    */
   apply(
-    { rateLimit }: UpstreamAnnouncement,
+    { rateLimit, isLeaving, pause }: UpstreamAnnouncement,
     { genuine }: { readonly genuine: boolean },
     now: Instant,
   ): readonly TermsChange[] {
-    if (rateLimit === undefined && (!genuine || !this.announced)) return [];
-    return this.setLimit({ rate: rateLimit, heardAt: now });
+    const changes: TermsChange[] = [];
+    if (isLeaving && !this.leaves) {
+      this.leaves = true;
+      changes.push({ kind: 'leaving' });
+    }
+    if (pause !== undefined && now + pause > this.pausedUntil) {
+      this.pausedUntil = now + pause;
+      changes.push({ kind: 'pause', pause });
+    }
+    if (rateLimit === undefined && (!genuine || !this.announced)) return changes;
+    return [...changes, ...this.setLimit({ rate: rateLimit, heardAt: now })];
   }
 
   /** Adopts what another gateway heard if it is later; returns what has changed. */
@@ -101,11 +124,19 @@
    */
   heldUntil(hosts: SendingHosts): Instant {
     const rate = this.announced?.rate;
-    if (rate === undefined) return Number.NEGATIVE_INFINITY;
+    if (rate === undefined) return this.pausedUntil;
     if (this.share?.hosts !== hosts || this.share.rate !== rate) this.updateShare(hosts, rate);
     const { interval, startsAt } = this.share ?? { interval: 0, startsAt: 0 };
     if (interval === Number.POSITIVE_INFINITY) return interval;
-    return Math.max(startsAt, this.dueAt - EARLY_INTERVAL_RATIO * interval);
+    return Math.max(this.pausedUntil, startsAt, this.dueAt - EARLY_INTERVAL_RATIO * interval);
+  }
+
+  /**
+   * Whether a request that has been recorded may still leave, as an announcement may have come
+   * while it waited for a connection.
+   */
+  mayStillSend(now: Instant): boolean {
+    return !this.leaves && now >= this.pausedUntil;
   }
 
   /** Records that a request leaves for the upstream. */
--- a/src/core/gateway/attempt-outcome.ts
+++ b/src/core/gateway/attempt-outcome.ts
@@ -7,7 +7,7 @@
   /** The upstream executed the request and answered with a failure status. */
   | { readonly kind: 'failed'; readonly status: number }
   /** The upstream has not executed the request and never will. */
-  | { readonly kind: 'not-run'; readonly why: 'shed' | 'misdirected' | 'unreachable' }
+  | { readonly kind: 'not-run'; readonly why: 'shed' | 'misdirected' | 'unreachable' | 'held-back' }
   /** The upstream may have executed the request, and there is no answer to forward. */
   | { readonly kind: 'unknown'; readonly why: string }
   /** The attempt was cancelled, such as when the caller closed its connection. */
@@ -44,7 +44,9 @@
     case 'cancelled':
       return { kind: 'end' };
     case 'not-run':
-      return hasTime ? { kind: 'repeat', counted: outcome.why !== 'unreachable' } : { kind: 'end' };
+      return hasTime
+        ? { kind: 'repeat', counted: outcome.why !== 'unreachable' && outcome.why !== 'held-back' }
+        : { kind: 'end' };
     case 'failed':
     case 'unknown':
       return idempotent && hasTime && runs < maxRuns
@@ -84,6 +86,7 @@
     case 'failed':
       return failureVerdict(ratio);
     case 'not-run':
+      if (outcome.why === 'held-back') return { kind: 'none' };
       return { kind: outcome.why === 'shed' ? 'busy' : 'unreachable' };
     case 'cancelled':
       return { kind: 'none' };
--- a/src/core/placement/choose-upstream.ts
+++ b/src/core/placement/choose-upstream.ts
@@ -148,7 +148,8 @@
 ): Placement => {
   const { now } = context;
   const ready = candidates.filter(
-    ({ upstream }) => upstream.state === 'ready' && !request.tried.has(upstream.id),
+    ({ upstream, terms }) =>
+      upstream.state === 'ready' && !terms.isLeaving && !request.tried.has(upstream.id),
   );
   if (ready.length === 0) return { kind: 'none' };
   const heldUntil = ready.map(({ terms }) => terms.heldUntil(context.sendingHosts));
--- a/src/core/placement/load-balancer.ts
+++ b/src/core/placement/load-balancer.ts
@@ -122,7 +122,10 @@
   slots(now: Instant): number {
     const hosts = this.termsSource.sendingHosts(now);
     return this.allStats
-      .filter(({ upstream, terms }) => upstream.state === 'ready' && now >= terms.heldUntil(hosts))
+      .filter(
+        ({ upstream, terms }) =>
+          upstream.state === 'ready' && !terms.isLeaving && now >= terms.heldUntil(hosts),
+      )
       .reduce(
         (sum, { upstream, belief }) => sum + upstream.slots * (1 - faultProbabilityAt(belief, now)),
         0,
--- a/src/gateway/announcements.ts
+++ b/src/gateway/announcements.ts
@@ -15,15 +15,29 @@
   changes: readonly TermsChange[],
   source: 'answer' | 'peer',
 ): void =>
-  changes.forEach(({ rateLimit, before }) =>
-    telemetry.event(rateLimit === undefined ? 'limit-ended' : 'limit-announced', {
-      upstream: id,
-      service,
-      ...(rateLimit === undefined ? {} : { perSecond: rateLimit }),
-      ...(before === undefined ? {} : { beforePerSecond: before }),
-      source,
-    }),
-  );
+  changes.forEach((change) => {
+    telemetry.count('terms_changes', { service, kind: change.kind, source });
+    switch (change.kind) {
+      case 'leaving':
+        telemetry.event('upstream-leaving', { upstream: id, service, source });
+        return;
+      case 'pause': {
+        const forMs = Math.round(change.pause);
+        telemetry.event('pause-announced', { upstream: id, service, forMs, source });
+        return;
+      }
+      case 'limit': {
+        const { rateLimit, before } = change;
+        telemetry.event(rateLimit === undefined ? 'limit-ended' : 'limit-announced', {
+          upstream: id,
+          service,
+          ...(rateLimit === undefined ? {} : { perSecond: rateLimit }),
+          ...(before === undefined ? {} : { beforePerSecond: before }),
+          source,
+        });
+      }
+    }
+  });
 
 /** Takes in what upstreams announce in their answers, and logs each change. */
 export class AnnouncementReader {
@@ -35,7 +49,9 @@
   /** Reads the head of any answer that came on a connection to an upstream. */
   read(upstream: GatewayUpstream, { rawHeaders, status }: AnswerHead): void {
     const { clock, telemetry, headerConventions } = this.context;
-    const announcement = headerConventions.parseAnnouncement((name) => headersOf(rawHeaders, name));
+    const announcement = headerConventions.parseAnnouncement(status, (name) =>
+      headersOf(rawHeaders, name),
+    );
     announcement.malformed.forEach((name) =>
       telemetry.count('announcements_malformed', { announcement: name }),
     );
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -92,6 +92,7 @@
     requestId: request.id,
     method: request.method,
     bytes: () => encodeRequest(request, headerConventions, upstream.id, deadline - clock.now()),
+    maySend: () => stats.terms.mayStillSend(clock.now()),
     deadline,
     signal,
     idempotent,
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -54,6 +54,7 @@
 ): AttemptOutcome => {
   if (result.kind === 'failed') {
     if (result.why === 'cancelled') return { kind: 'cancelled' };
+    if (result.why === 'held-back') return { kind: 'not-run', why: 'held-back' };
     if (isStaleReset(result)) return { kind: 'unknown', why: STALE_CONNECTION };
     return result.sent
       ? { kind: 'unknown', why: result.why }
--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/service-scheduler.ts
@@ -23,11 +23,8 @@
  */
 const COVER_MARGIN_RATIO = 0.15;
 
-/**
- * Longest Retry-After in milliseconds for a request that announced terms hold back; other gateways
- * may be able to send it.
- */
-const MAX_HELD_RETRY_AFTER_MS: Millis = 1000;
+/** Retry-After in milliseconds where the limits of all upstreams are left to other hosts. */
+const OTHER_HOSTS_RETRY_AFTER_MS: Millis = 1000;
 
 /** Number of queued requests that may fail to be placed before a drain of the queue stops. */
 const MAX_FAILED_PLACEMENT_COUNT = 3;
@@ -232,7 +229,9 @@
         return {
           kind: 'refused',
           why: 'held-back',
-          retryAfter: Math.min(placement.until - now, MAX_HELD_RETRY_AFTER_MS),
+          retryAfter: Number.isFinite(placement.until)
+            ? placement.until - now
+            : OTHER_HOSTS_RETRY_AFTER_MS,
           waited: now - request.arrivedAt,
         };
     }
--- a/src/gateway/upstream-connection.ts
+++ b/src/gateway/upstream-connection.ts
@@ -19,7 +19,9 @@
   | 'truncated'
   | 'malformed'
   | 'timeout'
-  | 'cancelled';
+  | 'cancelled'
+  /** The upstream has announced that it wants no request while this one waited to be sent. */
+  | 'held-back';
 
 /** Result of an exchange. */
 export type ExchangeResult =
@@ -39,6 +41,8 @@
   readonly method: string;
   /** Encodes head and body; called once connected, as the head states the time that remains. */
   readonly bytes: () => Buffer;
+  /** Whether the request may still be sent; asked once connected. */
+  readonly maySend: () => boolean;
   /** When the exchange fails with `timeout`. */
   readonly deadline: Instant;
   readonly signal: AbortSignal;
@@ -181,6 +185,11 @@
   }
 
   private send(exchange: Exchange): void {
+    if (!exchange.maySend()) {
+      this.fail('held-back');
+      this.close();
+      return;
+    }
     this.parser.hasNoBody = exchange.method === 'HEAD';
     this.socket.write(exchange.bytes());
   }
@@ -287,7 +296,7 @@
     running.resolve({
       kind: 'failed',
       why: why === 'reset' && running.head ? 'truncated' : why,
-      sent: this.connected,
+      sent: this.connected && why !== 'held-back',
       idleFor: this.idleFor,
     });
   }
--- a/src/ports/header-conventions.ts
+++ b/src/ports/header-conventions.ts
@@ -19,8 +19,14 @@
   readonly notRun: string;
   /** Parses the load that an upstream reports in an answer's headers, if any. */
   parseLoad(header: (name: string) => string | undefined): UpstreamLoad | undefined;
-  /** Parses what an upstream announces; `headers` returns all values of a header. */
-  parseAnnouncement(headers: (name: string) => readonly string[]): UpstreamAnnouncement;
+  /**
+   * Parses what an upstream announces in an answer of a status; `headers` returns all values of a
+   * header.
+   */
+  parseAnnouncement(
+    status: number,
+    headers: (name: string) => readonly string[],
+  ): UpstreamAnnouncement;
 }
 
 /** The numbers of requests at an upstream, as it reports them. */
--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -62,6 +62,8 @@
   work: number;
   /** Header lines that all its answers carry, such as `Server-Limit: 2`. */
   announces: readonly string[];
+  /** Requests received, whether they ran or not. */
+  readonly received: ReceivedRequest[];
   /** Requests that started to run, in order. */
   readonly runs: ReceivedRequest[];
   /** Ids of requests whose connection closed while they ran. */
@@ -102,6 +104,8 @@
 
   announces: readonly string[] = [];
 
+  readonly received: ReceivedRequest[] = [];
+
   readonly runs: ReceivedRequest[] = [];
 
   readonly cancelled: string[] = [];
@@ -227,6 +231,7 @@
 
   /** Refuses a request for another instance or in mode `sheds`; otherwise runs it. */
   private serve(socket: Socket, request: ReceivedRequest): void {
+    this.received.push(request);
     const target = headerOf(request.head, 'X-Redwingmount-Target-Instance');
     if (target !== '' && target !== this.id) {
       socket.write(
--- a/test/core/announcements/limit-fleet.ts
+++ b/test/core/announcements/limit-fleet.ts
@@ -4,7 +4,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
 import { SendingHostHistory, UpstreamTerms } from '../../../src/core/announcements';
-import type { Member, MemberState } from '../../../src/model';
+import { NO_ANNOUNCEMENT, type Member, type MemberState } from '../../../src/model';
 
 const STEP_MS = 5;
 /** Time from a request to the answer that names the limit. */
@@ -76,7 +76,7 @@
   /** Takes in an answer to a request sent under `terms`. */
   answered(terms: UpstreamTerms, rateLimit: number, now: number): void {
     if (this.terms === terms) this.toldAt = Math.min(this.toldAt, now);
-    terms.apply({ rateLimit, malformed: [] }, { genuine: true }, now + this.offset);
+    terms.apply({ ...NO_ANNOUNCEMENT, rateLimit }, { genuine: true }, now + this.offset);
   }
 
   /** Takes in its view of the owners and members. */
--- a/test/gateway/announcements.test.ts
+++ b/test/gateway/announcements.test.ts
@@ -13,6 +13,12 @@
 /** Most requests in a window: one and a half times what the limit allows, and 5. */
 const MAX_IN_WINDOW = 1.5 * LIMIT_PER_SECOND * (WINDOW_MS / 1000) + 5;
 const REQUEST_GAP_MS = 25;
+const PAUSE_MS = 2500;
+/** Time after a 503 from which the pause has to hold, and most requests in the rest of it. */
+const PAUSE_GRACE_MS = 500;
+const MAX_IN_PAUSE_COUNT = 2;
+/** Time within which an upstream that leaves must stop getting new requests. */
+const DRAIN_BOUND_MS = 2000;
 
 /** Sends requests at a steady rate for `duration` milliseconds; resolves when all have ended. */
 const load = async (
@@ -58,4 +64,62 @@
     expect({ most, keeps: most <= MAX_IN_WINDOW }).toEqual({ most, keeps: true });
     expect(statuses.every((status) => status === 200)).toEqual(true);
   });
+
+  it('sends nothing to an upstream for the time after a 503 that it asks for', async () => {
+    const paused = harness.upstreams[1];
+    if (!paused) throw new Error('no upstream');
+    await load(harness, '/read/', 500);
+    paused.mood = 'sheds';
+    paused.announces = [`Retry-After: ${PAUSE_MS / 1000}`];
+    const known = paused.received.length;
+    const loaded = load(harness, '/read/', PAUSE_MS + 1000);
+    await harness.until(() => paused.received.length > known);
+    const pausedAt = Date.now();
+    paused.mood = 'well';
+    paused.announces = [];
+    const statuses = await loaded;
+    const late = paused.received.filter(
+      ({ at }) => at >= pausedAt + PAUSE_GRACE_MS && at < pausedAt + PAUSE_MS,
+    );
+    expect(late.length <= MAX_IN_PAUSE_COUNT).toEqual(true);
+    expect(paused.received.some(({ at }) => at >= pausedAt + PAUSE_MS)).toEqual(true);
+    expect(statuses.every((status) => status === 200)).toEqual(true);
+  });
+
+  it('refuses at once, with the end of the earliest pause, when all upstreams pause', async () => {
+    harness.upstreams.forEach((upstream, i) =>
+      Object.assign(upstream, { mood: 'sheds', announces: [`Retry-After: ${2 + i}`] }),
+    );
+    await load(harness, '/read/', 200);
+    const startedAt = Date.now();
+    const refused = await harness.request('all-paused', '/read/');
+    harness.upstreams.forEach((upstream) =>
+      Object.assign(upstream, { mood: 'well', announces: [] }),
+    );
+    expect(refused.status).toEqual(503);
+    expect(Number(refused.headers['retry-after']) > 1).toEqual(true);
+    expect(Date.now() - startedAt < 1000).toEqual(true);
+  });
+
+  it('sends nothing more to an upstream that says it leaves, though it is registered', async () => {
+    const leaving = harness.upstreams[2];
+    if (!leaving) throw new Error('no upstream');
+    // Earlier pauses end within this time.
+    await load(harness, '/read/', 4500);
+    leaving.announces = ['Server-Leaving: 1'];
+    const known = leaving.received.length;
+    const loaded = load(harness, '/read/', 3500);
+    await harness.until(() => leaving.received.length > known);
+    const announcedAt = Date.now();
+    harness.register(leaving, { sequence: 2 });
+    await loaded;
+    const late = leaving.received.filter(({ at }) => at > announcedAt + DRAIN_BOUND_MS);
+    expect(late.length).toEqual(0);
+    leaving.announces = [];
+    harness.register(leaving, { sequence: 1, born: 2 });
+    await harness.until(() => harness.count('upstream-reborn') === 1);
+    const count = leaving.received.length;
+    await load(harness, '/read/', 1500);
+    expect(leaving.received.length > count).toEqual(true);
+  });
 });
--- a/test/gateway/connection-pool.test.ts
+++ b/test/gateway/connection-pool.test.ts
@@ -54,6 +54,7 @@
         requestId: undefined,
         method: 'GET',
         bytes: () => Buffer.from('GET / HTTP/1.1\r\nhost: u\r\n\r\n'),
+        maySend: () => true,
         deadline: clock.now() + 5000,
         signal: new AbortController().signal,
         idempotent: true,
@@ -71,4 +72,38 @@
     expect(connections).toEqual(2);
     pool.close();
   });
+
+  it('sends nothing on a new connection if the request is held back meanwhile', async () => {
+    const pool = new ConnectionPool(ID_HEADER, clock, () => {});
+    const { port } = server.address() as AddressInfo;
+    let requests = 0;
+    server.on('request', () => {
+      requests += 1;
+    });
+    const result = await pool.run(
+      {
+        id: 'v',
+        service: 's',
+        endpoint: { address: '127.0.0.1', port },
+        dataCentre: 'a',
+        slots: 2,
+        state: 'ready',
+        born: 1,
+        reportSequence: 1,
+        warmedUpAt: 0,
+      },
+      {
+        requestId: undefined,
+        method: 'POST',
+        bytes: () => Buffer.from('POST / HTTP/1.1\r\nhost: u\r\n\r\n'),
+        maySend: () => false,
+        deadline: clock.now() + 5000,
+        signal: new AbortController().signal,
+        idempotent: false,
+      },
+    );
+    expect(result).toEqual({ kind: 'failed', why: 'held-back', sent: false, idleFor: 0 });
+    expect(requests).toEqual(0);
+    pool.close();
+  });
 });
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -186,6 +186,32 @@
     );
   });
 
+  it('decodes what upstreams announce, and ignores malformed or repeated values', () => {
+    const announced = (status: number, headers: Readonly<Record<string, string[]>>): unknown =>
+      headerConventions.parseAnnouncement(status, (name) => headers[name] ?? []);
+    const nothing = { rateLimit: undefined, isLeaving: false, pause: undefined, malformed: [] };
+    expect(
+      announced(503, { 'server-limit': ['1.4'], 'server-leaving': ['1'], 'retry-after': ['0.5'] }),
+    ).toEqual({ rateLimit: 1.4, isLeaving: true, pause: 500, malformed: [] });
+    expect(announced(429, { 'retry-after': ['2'] })).toEqual(nothing);
+    ['-1', '', 'x', '1e3', '12345678901', 'Infinity'].forEach((text) =>
+      expect(announced(200, { 'server-limit': [text] })).toEqual({
+        ...nothing,
+        malformed: ['limit'],
+      }),
+    );
+    expect(announced(200, { 'server-limit': ['1', '2'], 'server-leaving': ['0'] })).toEqual({
+      ...nothing,
+      malformed: ['limit', 'leaving'],
+    });
+    ['86400', 'Fri, 04 Dec 2026 08:00:00 GMT'].forEach((text) =>
+      expect(announced(503, { 'retry-after': [text] })).toEqual({
+        ...nothing,
+        malformed: ['pause'],
+      }),
+    );
+  });
+
   it('decodes directory queries and encodes answers', () => {
     const target = '/redwingmount/resolve?name=h&region=r&zone=z';
     expect(directoryCodec.decode(target)).toEqual({ host: 'h', dataCentre: 'z' });
