Follow a store that comes back from a copy

Store-Era in its answers was not read, and a position was an offset alone, so that places of different copies were compared with each other.

Change: a feed position is an era and an offset in one ordered number, everywhere: followers, relays, subscriptions, peers' datagrams. A feed tells the other one of a new era, as a read may wait at an offset that exists again. Upstreams that the copy lacks are kept as after an outage; those that have left stay out unless they have reported since. The binary datagram format is version 3 and the stream of pages /feeds/2; older builds get offsets in datagrams and read the feeds at the store.

A read that waits at an offset that exists again, with no write to either feed, ends only with its wait (3 to 28 s).

--- a/src/core/gateway/upstream-list.ts
+++ b/src/core/gateway/upstream-list.ts
@@ -49,6 +49,16 @@
   return isSame ? undefined : { kind: 'moved', upstream: next };
 };
 
+/** The last report of an upstream that has left, and the store's era at that time. */
+interface DepartedUpstream {
+  readonly born: number;
+  readonly reportSequence: number;
+  readonly era: number;
+}
+
+/** Number of upstreams that have left whose last reports are kept. */
+const MAX_DEPARTED_COUNT = 4096;
+
 /**
  * Holds the upstreams in service by id. An entry older than the one held is ignored: one of an
  * earlier run under the same id, an earlier report of the same run, or one that reverts draining to
@@ -60,6 +70,9 @@
   /** Times at which upstreams whose registration has lapsed are removed. */
   private readonly expiryById = new Map<UpstreamId, Instant>();
 
+  /** The last reports of upstreams that have left, the latest to leave last. */
+  private readonly departed = new Map<UpstreamId, DepartedUpstream>();
+
   get size(): number {
     return this.upstreams.size;
   }
@@ -91,16 +104,18 @@
 
   /**
    * Applies a change and returns its effect, if any. An upstream that is removed while ready stays
-   * in the list until `keepUntil`; it is removed at once if that is undefined.
+   * in the list until `keepUntil`; it is removed at once if that is undefined. One that has left
+   * stays out if a later `era` of the store shows an earlier report of it: that comes from a copy.
    */
-  apply(change: UpstreamChange, keepUntil?: Instant): UpstreamListEvent | undefined {
+  apply(change: UpstreamChange, keepUntil?: Instant, era = 0): UpstreamListEvent | undefined {
     switch (change.kind) {
       case 'removed':
-        return this.remove(change.id, keepUntil);
+        return this.remove(change.id, keepUntil, era);
       case 'put': {
         const { upstream } = change;
         const known = this.upstreams.get(upstream.id);
         if (known && isOutdated(upstream, known)) return undefined;
+        if (!known && this.hasLeftBefore(upstream, era)) return undefined;
         const wasLapsed = this.expiryById.delete(upstream.id);
         this.upstreams.set(upstream.id, upstream);
         const event = listEventOf(upstream, known);
@@ -121,9 +136,9 @@
   /**
    * Removes the upstreams that have not registered again in time, and returns an event for each.
    */
-  expire(now: Instant): readonly UpstreamListEvent[] {
+  expire(now: Instant, era = 0): readonly UpstreamListEvent[] {
     const due = [...this.expiryById].filter(([, until]) => now >= until).map(([id]) => id);
-    return due.flatMap((id) => this.remove(id) ?? []);
+    return due.flatMap((id) => this.remove(id, undefined, era) ?? []);
   }
 
   /**
@@ -133,7 +148,17 @@
     return this.expiryById.size === 0 ? undefined : Math.min(...this.expiryById.values());
   }
 
-  private remove(id: UpstreamId, keepUntil?: Instant): UpstreamListEvent | undefined {
+  private hasLeftBefore({ id, born, reportSequence }: GatewayUpstream, era: number): boolean {
+    const departed = this.departed.get(id);
+    if (departed?.born !== born) return false;
+    return era > departed.era && reportSequence <= departed.reportSequence;
+  }
+
+  private remove(
+    id: UpstreamId,
+    keepUntil: Instant | undefined,
+    era: number,
+  ): UpstreamListEvent | undefined {
     const upstream = this.upstreams.get(id);
     if (!upstream) return undefined;
     if (keepUntil !== undefined && upstream.state === 'ready') {
@@ -143,6 +168,13 @@
     }
     this.expiryById.delete(id);
     this.upstreams.delete(id);
+    const { born, reportSequence } = upstream;
+    this.departed.delete(id);
+    this.departed.set(id, { born, reportSequence, era });
+    if (this.departed.size > MAX_DEPARTED_COUNT) {
+      const [oldest] = this.departed.keys();
+      if (oldest !== undefined) this.departed.delete(oldest);
+    }
     return { kind: 'left', upstream };
   }
 }
--- a/src/gateway/datagram.ts
+++ b/src/gateway/datagram.ts
@@ -6,10 +6,10 @@
   unpackMembershipMessage,
   type MembershipMessage,
 } from '../core/membership';
-import { isObject } from '../model';
+import { isObject, offsetOf, type FeedPosition } from '../model';
 
 /** Positions up to which a gateway has read the two feeds; -1 before the first read. */
-export type FeedPositions = readonly [config: number, upstreams: number];
+export type FeedPositions = readonly [config: FeedPosition, upstreams: FeedPosition];
 
 /** Topics of messages between gateways: `sightings` are observations of upstreams. */
 export type PeerTopic = 'membership' | 'sightings' | 'beliefs';
@@ -25,7 +25,9 @@
  * The version of the binary format. Nodes tell it in their identity; to others datagrams go as JSON
  * arrays of topic, body and positions, which all builds read.
  */
-export const DATAGRAM_VERSION = 2;
+export const DATAGRAM_VERSION = 3;
+/** The binary version before it, whose positions are offsets without an era. */
+const VERSION_WITHOUT_ERA = 2;
 
 /** Topics by their number in the binary format. */
 const TOPICS: readonly PeerTopic[] = ['membership', 'sightings', 'beliefs'];
@@ -42,11 +44,14 @@
   { topic, body, positions }: Datagram,
   version: number | undefined,
 ): Buffer => {
-  if (version === undefined || version < DATAGRAM_VERSION) {
-    return Buffer.from(JSON.stringify([topic, body, positions]));
+  const offsets = positions.map((position) => (position < 0 ? position : offsetOf(position)));
+  if (version === undefined || version < VERSION_WITHOUT_ERA) {
+    return Buffer.from(JSON.stringify([topic, body, offsets]));
   }
   const packed = topic === 'membership' ? packMembershipMessage(body as MembershipMessage) : body;
-  return packr.pack([DATAGRAM_VERSION, TOPICS.indexOf(topic), packed, positions]);
+  const [written, places] =
+    version < DATAGRAM_VERSION ? [VERSION_WITHOUT_ERA, offsets] : [DATAGRAM_VERSION, positions];
+  return packr.pack([written, TOPICS.indexOf(topic), packed, places]);
 };
 
 const decodeJson = (bytes: Buffer): readonly unknown[] => {
@@ -58,7 +63,7 @@
   const value: unknown = packr.unpack(bytes);
   if (!Array.isArray(value)) return [];
   const [version, number, body, positions] = value as readonly unknown[];
-  if (version !== DATAGRAM_VERSION) return [];
+  if (version !== DATAGRAM_VERSION && version !== VERSION_WITHOUT_ERA) return [];
   const topic = TOPICS[Number(number)];
   return [topic, topic === 'membership' ? unpackMembershipMessage(body) : body, positions];
 };
--- a/src/gateway/feed-relay.ts
+++ b/src/gateway/feed-relay.ts
@@ -7,7 +7,7 @@
 import { encodeFeedFrame, FEEDS, type FeedName } from './feed-frames';
 
 /** Path of the stream of frames; its last part is the version of the frames. */
-export const FEED_STREAM_PATH = '/feeds/1';
+export const FEED_STREAM_PATH = '/feeds/2';
 /** Interval in milliseconds between signs of contact with the store. */
 export const FEED_BEAT_INTERVAL_MS: Millis = 500;
 /** Bytes queued for a subscriber above which it is dropped; it then reads elsewhere. */
--- a/src/gateway/feeds.ts
+++ b/src/gateway/feeds.ts
@@ -87,6 +87,8 @@
         longPoll: () => this.longPoll(),
         batchPause: () => this.batchPause(),
         peerGrace: () => this.peerGrace(),
+        onEra: (era) =>
+          Object.values(this.followers).forEach((follower) => follower.onEraOfOtherFeed(era)),
         onPage: (page, timing) => {
           this.relay.publish(name, page);
           onPage(page, timing);
--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -1,6 +1,14 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import type { Instant, Millis, FeedPage, PositionedPage } from '../model';
+import {
+  eraOf,
+  offsetOf,
+  type FeedPage,
+  type FeedPosition,
+  type Instant,
+  type Millis,
+  type PositionedPage,
+} from '../model';
 import type { Clock, Feed, FeedFault, Telemetry } from '../ports';
 
 /**
@@ -58,6 +66,8 @@
    * read, or the reader that passes pages on, is taken to hang.
    */
   peerGrace(): Millis;
+  /** Called when the store's data are of a later era than before. */
+  onEra(era: number): void;
   /** Receives each page that was read, without items that an earlier page had. */
   onPage(page: PositionedPage<T>, timing: ReadTiming): void;
 }
@@ -69,15 +79,15 @@
  */
 export class Follower<T> {
   /** Position to read on from; undefined when the whole feed has to be read. */
-  private position: number | undefined;
+  private position: FeedPosition | undefined;
 
   /** The highest position read so far; a snapshot at a lower position is out of date. */
-  private furthestPosition = -1;
+  private furthestPosition: FeedPosition = -1;
 
   private timing = NO_READS;
 
   /** Position reported by a peer that is ahead, while the follower waits to catch up with it. */
-  private pendingPeerPosition: number | undefined;
+  private pendingPeerPosition: FeedPosition | undefined;
 
   /** Number of failed reads in a row. */
   private failures = 0;
@@ -96,7 +106,7 @@
   constructor(private readonly options: FollowerOptions<T>) {}
 
   /** The highest position read so far; -1 before the first successful read. */
-  get readPosition(): number {
+  get readPosition(): FeedPosition {
     return this.furthestPosition;
   }
 
@@ -143,7 +153,7 @@
   }
 
   /** Takes in how far a peer has read; reads at once if the own read seems to hang. */
-  onPeerPosition(position: number): void {
+  onPeerPosition(position: FeedPosition): void {
     if (position <= this.furthestPosition || this.pendingPeerPosition !== undefined) return;
     this.pendingPeerPosition = position;
     void sleep(this.options.peerGrace()).then(async () => {
@@ -153,6 +163,16 @@
     });
   }
 
+  /**
+   * Takes in that another feed of the same store is of a later era. A read may wait at an offset
+   * that exists again in that era, without an answer that tells it.
+   */
+  onEraOfOtherFeed(era: number): void {
+    if (this.furthestPosition < 0 || era <= eraOf(this.furthestPosition)) return;
+    this.position = undefined;
+    if (!this.isPausing && !this.isRelayed && !this.closed) void this.read(0);
+  }
+
   close(): void {
     this.closed = true;
     this.resume?.();
@@ -174,10 +194,17 @@
         ? await feed.readSnapshot(deadline)
         : await feed.readSince(position, wait, deadline);
     if (this.closed) return;
+    const isGone = page.caseOf({
+      Left: ({ kind }) => kind === 'position-gone',
+      Right: () => false,
+    });
+    // Another read may have moved on while this one waited.
+    if (isGone && position !== this.position) return;
     page.caseOf({
       Left: (fault) => this.onFault(fault, startedAt),
       Right: (read) => this.onStoreRead(read, position ?? 0, startedAt),
     });
+    if (isGone && position !== undefined) await this.read(0);
   }
 
   private onStoreRead(page: FeedPage<T>, from: number, startedAt: Instant): void {
@@ -198,6 +225,7 @@
       this.timing = { ...this.timing, storeReturnedAt: now };
     }
     this.failures = 0;
+    if (page.position > this.furthestPosition) this.noteEra(page.position, now);
     // Two reads may overlap; only what is new goes on.
     const known = page.isSnapshot ? 0 : Math.max(0, this.furthestPosition - page.from);
     if (page.position >= this.furthestPosition) this.position = page.position;
@@ -208,13 +236,34 @@
     );
   }
 
+  /**
+   * Notes that the store has come back from a copy of its data. Like after an outage, entries that
+   * the copy lacks may be written again.
+   */
+  private noteEra(position: FeedPosition, now: Instant): void {
+    const era = eraOf(position);
+    const before = eraOf(Math.max(0, this.furthestPosition));
+    if (era === before) return;
+    const { name, telemetry } = this.options;
+    telemetry.event('feed-era-changed', {
+      feed: name,
+      era,
+      before,
+      offset: offsetOf(position),
+      offsetBefore: offsetOf(Math.max(0, this.furthestPosition)),
+    });
+    this.options.onEra(era);
+    if (this.furthestPosition < 0) return;
+    this.timing = { ...this.timing, failedReadAt: now, storeReturnedAt: now };
+  }
+
   private onFault(fault: FeedFault, startedAt: Instant): void {
     const { name, telemetry, clock } = this.options;
     telemetry.count('feed_faults', { feed: name, kind: fault.kind });
     switch (fault.kind) {
       case 'position-gone':
         this.position = undefined;
-        telemetry.event('feed-history-lost', { feed: name, head: this.furthestPosition });
+        telemetry.event('feed-history-lost', { feed: name, head: offsetOf(this.furthestPosition) });
         return;
       case 'refused':
       case 'unreachable':
--- a/src/gateway/upstream-registry.ts
+++ b/src/gateway/upstream-registry.ts
@@ -4,7 +4,13 @@
   type UpstreamChange,
   type UpstreamListEvent,
 } from '../core/gateway';
-import type { GatewayUpstream, Millis, ServiceName, FeedPage } from '../model';
+import {
+  eraOf,
+  type FeedPage,
+  type GatewayUpstream,
+  type Millis,
+  type ServiceName,
+} from '../model';
 
 import type { GatewayContext } from './context';
 import type { ReadTiming } from './follower';
@@ -24,6 +30,9 @@
 export class UpstreamRegistry {
   private readonly list = new UpstreamList();
 
+  /** The store's era in the last page. */
+  private era = 0;
+
   private expiryTimer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -46,8 +55,9 @@
       failedReadAt: timing.failedReadAt,
       storeReturnedAt: timing.storeReturnedAt,
     });
+    this.era = eraOf(page.position);
     changes.forEach((change) => {
-      const event = this.list.apply(change, keepUntil);
+      const event = this.list.apply(change, keepUntil, this.era);
       if (event) this.onEvent(event);
     });
   }
@@ -96,7 +106,7 @@
   private scheduleExpiry(delay: Millis): void {
     this.expiryTimer ??= setTimeout(() => {
       this.expiryTimer = undefined;
-      this.list.expire(this.context.clock.now()).forEach((event) => this.onEvent(event));
+      this.list.expire(this.context.clock.now(), this.era).forEach((event) => this.onEvent(event));
       const next = this.list.nextExpiry();
       if (next !== undefined) this.scheduleExpiry(next - this.context.clock.now());
     }, delay);
--- a/src/ports/feed.ts
+++ b/src/ports/feed.ts
@@ -1,10 +1,13 @@
 import type { Either } from 'purify-ts';
 
-import type { FeedPage, GatewayConfig, Instant, KeyedRecord, Millis } from '../model';
+import type { FeedPage, FeedPosition, GatewayConfig, Instant, KeyedRecord, Millis } from '../model';
 
 /** The reason why a feed could not be read. */
 export type FeedFault =
-  /** The store has deleted the records at the position; only a snapshot can be read. */
+  /**
+   * The store no longer has the records at the position, or its data are of a later era; only a
+   * snapshot can be read.
+   */
   | { readonly kind: 'position-gone' }
   /** The store answered with an HTTP status that is no success. */
   | { readonly kind: 'refused'; readonly status: number }
@@ -19,7 +22,7 @@
   readSnapshot(deadline: Instant): Promise<Either<FeedFault, FeedPage<T>>>;
   /** Reads the changes from a position on; if there are none, waits for some for up to `wait`. */
   readSince(
-    position: number,
+    position: FeedPosition,
     wait: Millis,
     deadline: Instant,
   ): Promise<Either<FeedFault, FeedPage<T>>>;
--- a/standins/platform/store.ts
+++ b/standins/platform/store.ts
@@ -17,6 +17,8 @@
   readonly key: string;
   /** Empty when the record removes the key. */
   readonly value: Buffer;
+  /** Time at which it was written, in Unix milliseconds. */
+  readonly at: number;
 }
 
 /** A running store and its controls. */
@@ -29,6 +31,13 @@
    * Appends a record: a string as it is, other values as JSON. Without a value the key is removed.
    */
   put(topic: string, key: string, value?: unknown): void;
+  /** Number of the store's copy, in the header Store-Era of all answers. */
+  readonly era: number;
+  /**
+   * Comes back from a copy: records written at `until` (Unix milliseconds) or later are gone, their
+   * offsets are given out again, the era rises by one and waiting reads are reset.
+   */
+  restoreCopy(until: number): void;
   /** Deletes all records but the newest of each key that is not removed, and the last record. */
   compact(topic: string): void;
 }
@@ -43,7 +52,7 @@
 
 /** A topic of one partition. */
 class Topic {
-  readonly records: StoredRecord[] = [];
+  records: StoredRecord[] = [];
 
   /** Reads from an offset below this one are answered 410. */
   first = 0;
@@ -90,9 +99,11 @@
 
   requestCount = 0;
 
+  era = 1;
+
   private readonly topics = new Map<string, Topic>();
 
-  private readonly waitingReads = new Set<() => void>();
+  private readonly waitingReads = new Map<() => void, IncomingMessage>();
 
   readonly server = createServer((req, res) => this.handle(req, res));
 
@@ -100,8 +111,17 @@
     const topic = this.topicOf(name);
     const text = typeof value === 'string' ? value : JSON.stringify(value ?? '');
     const bytes = value === undefined ? Buffer.alloc(0) : Buffer.from(text);
-    topic.records.push({ offset: topic.end, key, value: bytes });
-    [...this.waitingReads].forEach((answer) => answer());
+    topic.records.push({ offset: topic.end, key, value: bytes, at: Date.now() });
+    [...this.waitingReads.keys()].forEach((answer) => answer());
+  }
+
+  restoreCopy(until: number): void {
+    this.era += 1;
+    this.topics.forEach((topic) =>
+      Object.assign(topic, { records: topic.records.filter(({ at }) => at < until) }),
+    );
+    this.waitingReads.forEach((req) => req.socket.destroy());
+    this.waitingReads.clear();
   }
 
   compact(name: string): void {
@@ -128,6 +148,7 @@
   private handle(req: IncomingMessage, res: ServerResponse): void {
     this.requestCount += 1;
     const url = new URL(req.url ?? '/', 'http://store');
+    res.setHeader('store-era', String(this.era));
     switch (this.mood) {
       case 'silent':
         return;
@@ -143,7 +164,8 @@
         return;
       case 'well':
         if (url.pathname === '/redwingmount/log-newest') this.readNewest(res, url.searchParams);
-        else if (url.pathname === '/redwingmount/log-read') this.readFrom(res, url.searchParams);
+        else if (url.pathname === '/redwingmount/log-read')
+          this.readFrom(req, res, url.searchParams);
         else sendJson(res, 404, { error: 'unknown path' });
     }
   }
@@ -165,20 +187,21 @@
   }
 
   /** Answers a long poll of `waitMs` for records from the query's `from` on. */
-  private readFrom(res: ServerResponse, query: URLSearchParams): void {
+  private readFrom(req: IncomingMessage, res: ServerResponse, query: URLSearchParams): void {
     const topic = this.topicOf(query.get('topic') ?? '');
     const from = Number(query.get('from'));
     const answer = (): void => {
       this.waitingReads.delete(answer);
       if (res.writableEnded) return;
-      if (from < topic.first) sendJson(res, STATUS_GONE, { first: topic.first });
+      if (from < topic.first || from > topic.end)
+        sendJson(res, STATUS_GONE, { first: topic.first });
       else res.end(encodePage(topic, from));
     };
-    if (from < topic.end || from < topic.first) {
+    if (from !== topic.end || from < topic.first) {
       answer();
       return;
     }
-    this.waitingReads.add(answer);
+    this.waitingReads.set(answer, req);
     setTimeout(answer, Number(query.get('waitMs') ?? 0)).unref();
   }
 }
--- a/test/core/gateway/upstreams.test.ts
+++ b/test/core/gateway/upstreams.test.ts
@@ -64,6 +64,16 @@
     expect(list.expire(100)).toEqual([{ kind: 'left', upstream: entry({ id: 'v' }) }]);
     expect(list.get('u')?.state).toEqual('ready');
   });
+
+  it('keeps out what has left if a copy of a later era shows an earlier report of it', () => {
+    const list = new UpstreamList();
+    list.apply(put(entry({ reportSequence: 8 })), undefined, 1);
+    list.apply({ kind: 'removed', id: 'u' }, undefined, 1);
+    expect(list.apply(put(entry({ reportSequence: 7 })), undefined, 2)).toEqual(undefined);
+    expect(list.size).toEqual(0);
+    // It has reported since, so that it is back.
+    expect(list.apply(put(entry({ reportSequence: 9 })), undefined, 2)?.kind).toEqual('joined');
+  });
 });
 
 describe('removed registrations', () => {
--- a/test/gateway/datagram.test.ts
+++ b/test/gateway/datagram.test.ts
@@ -4,6 +4,7 @@
 
 import { decodeMembershipMessage, type MembershipMessage } from '../../src/core/membership';
 import { DATAGRAM_VERSION, decodeDatagram, encodeDatagram } from '../../src/gateway/datagram';
+import { feedPositionOf } from '../../src/model';
 
 const name = fc.string({ minLength: 1, maxLength: 20 });
 const count = fc.nat();
@@ -58,7 +59,7 @@
 
   it('carry every membership message in both formats', () => {
     fc.assert(
-      fc.property(message, fc.constantFrom(undefined, DATAGRAM_VERSION), (body, version) => {
+      fc.property(message, fc.constantFrom(undefined, 2, DATAGRAM_VERSION), (body, version) => {
         const bytes = encodeDatagram({ topic: 'membership', body, positions }, version);
         expect(normalized(received(bytes))).toEqual(normalized(body));
         expect(decodeDatagram(bytes)?.positions).toEqual(positions);
@@ -67,6 +68,15 @@
     );
   });
 
+  it('tell the era of positions only to nodes that know of it', () => {
+    const places = [feedPositionOf(2, 7), -1] as const;
+    const sentTo = (version: number | undefined): unknown =>
+      decodeDatagram(encodeDatagram({ topic: 'beliefs', body: {}, positions: places }, version))
+        ?.positions;
+    expect(sentTo(DATAGRAM_VERSION)).toEqual(places);
+    [undefined, 2].forEach((version) => expect(sentTo(version)).toEqual([7, -1]));
+  });
+
   it('are JSON arrays for nodes whose version is not known, as earlier builds read them', () => {
     const body = { service: 's', sightings: [] };
     const bytes = encodeDatagram({ topic: 'sightings', body, positions }, undefined);
--- a/test/gateway/feeds.test.ts
+++ b/test/gateway/feeds.test.ts
@@ -166,10 +166,10 @@
     const relay = new FeedRelay(recordingTelemetry(), () => true);
     const port = await freePorts(1);
     await listen(relay.server, '127.0.0.1', port);
-    for (const target of ['//', '/feeds/1', '/feeds/1?config=x&upstreams=1', '/feeds/2?config=1']) {
+    for (const target of ['//', '/feeds/2', '/feeds/2?config=x&upstreams=1', '/feeds/1?config=1']) {
       expect((await httpGet(port, target)).status).toEqual(404);
     }
-    expect((await httpGet(port, '/feeds/1?config=-1&upstreams=-1')).status).toEqual(503);
+    expect((await httpGet(port, '/feeds/2?config=-1&upstreams=-1')).status).toEqual(503);
     relay.close();
   });
 });
--- a/test/gateway/follower.test.ts
+++ b/test/gateway/follower.test.ts
@@ -3,7 +3,7 @@
 import { Left, Right, type Either } from 'purify-ts';
 
 import { Follower, retryDelay } from '../../src/gateway/follower';
-import type { FeedPage } from '../../src/model';
+import { feedPositionOf, type FeedPage } from '../../src/model';
 import type { Feed, FeedFault } from '../../src/ports';
 
 import { recordingTelemetry } from './harness';
@@ -70,6 +70,7 @@
       longPoll: () => 15_000,
       batchPause: () => batchPause,
       peerGrace: () => 300,
+      onEra: () => {},
       onPage: (read) => items.push(...read.items),
     });
     void follower.follow();
@@ -151,4 +152,40 @@
     await feed.answer(2, page(1, [], true));
     expect(events()).toEqual(['feed-lost', 'feed-regained']);
   });
+
+  it('reads the whole feed at once in a later era, and drops late answers of earlier ones', async () => {
+    const { feed, items, events } = start(0);
+    await feed.answer(0, page(feedPositionOf(1, 5), ['a'], true));
+    await feed.until(() => feed.reads.length === 2);
+    expect(
+      follower.onRelayedPage({
+        isSnapshot: true,
+        items: ['b'],
+        from: 0,
+        position: feedPositionOf(2, 3),
+      }),
+    ).toEqual(true);
+    expect(events().includes('feed-era-changed')).toEqual(true);
+    // A page of the earlier era that another gateway has read, and a peer ahead in that era.
+    follower.onRelayedPage({
+      isSnapshot: false,
+      items: ['c'],
+      from: feedPositionOf(1, 5),
+      position: feedPositionOf(1, 6),
+    });
+    follower.onPeerPosition(feedPositionOf(1, 900));
+    await feed.answer(1, Left({ kind: 'position-gone' }));
+    expect(items).toEqual(['a', 'b']);
+    await feed.until(() => feed.reads.length === 3);
+    expect(feed.reads[2]?.kind).toEqual(`wait from ${feedPositionOf(2, 3)}`);
+  });
+
+  it('reads again when another feed of the store is of a later era', async () => {
+    const { feed } = start(0);
+    await feed.answer(0, page(feedPositionOf(1, 5), ['a'], true));
+    await feed.until(() => feed.reads.length === 2);
+    follower.onEraOfOtherFeed(2);
+    await feed.until(() => feed.reads.length === 3);
+    expect(feed.reads[2]?.kind).toEqual('newest');
+  });
 });
