--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -28,7 +28,16 @@
  * Names of events that report a change in what the gateway knows: its configuration, upstreams or
  * peers.
  */
-const STATE_EVENT_PATTERN = /^(upstream|config|feed|settings|owners)-/;
+const STATE_EVENT_PATTERN = /^(upstream|config|feed|settings|owners|limit|pause)-/;
+/** Names of events that report what an upstream has announced of itself. */
+const ANNOUNCEMENT_EVENTS: ReadonlySet<string> = new Set([
+  'limit-announced',
+  'limit-ended',
+  'pause-announced',
+  'upstream-leaving',
+]);
+/** The `why` of a request that announcements of upstreams held back. */
+const HELD_BACK = 'held-back';
 
 /**
  * Parses a log line. Text before the JSON, such as a log collector's prefix, is skipped. Returns
@@ -63,6 +72,9 @@
   const at = `upstream ${String(last?.upstream ?? upstream)}`;
   switch (outcome) {
     case 'refused':
+      if (why === HELD_BACK) {
+        return `all upstreams of ${String(request.fields.service)} had announced limits, pauses or departures; the gateway refused it for ${String(request.fields.retryAfterMs)} ms and it did not run`;
+      }
       return `the gateway refused it (${String(why)}) and it did not run`;
     case 'lost':
       return `${at} gave no usable answer (${String(why)}); it ran or may have run ${runs} time(s)`;
@@ -92,13 +104,18 @@
   }
   const upstreams = new Set(own.map(({ fields }) => fields.upstream).filter(isString));
   const sources = new Set(own.map(({ source }) => source));
+  const heldBack = own.find(({ fields }) => fields.why === HELD_BACK)?.fields.service;
+  const hasHeldBack = ({ event, fields }: LogLine): boolean =>
+    heldBack !== undefined && ANNOUNCEMENT_EVENTS.has(event) && fields.service === heldBack;
   const stateChanges = lines.filter(
-    ({ event, time, fields, source }) =>
-      STATE_EVENT_PATTERN.test(event) &&
-      sources.has(source) &&
-      Math.abs(first.time - time) <= STATE_LOOKBACK_MS &&
-      time <= first.time &&
-      (fields.upstream === undefined || upstreams.has(String(fields.upstream))),
+    (line) =>
+      STATE_EVENT_PATTERN.test(line.event) &&
+      sources.has(line.source) &&
+      first.time - line.time <= STATE_LOOKBACK_MS &&
+      line.time <= first.time &&
+      (line.fields.upstream === undefined ||
+        upstreams.has(String(line.fields.upstream)) ||
+        hasHeldBack(line)),
   );
   const ordered = [...stateChanges, ...own].sort((a, b) => a.time - b.time);
   const eventLines = ordered.map(({ time, event, fields, source }) => {
--- a/test/cli/explain.test.ts
+++ b/test/cli/explain.test.ts
@@ -117,4 +117,39 @@
       'cause: upstream i-4 answered 500 after 1038 ms, and it was not repeated further; upstream i-3 gave none (timeout)',
     );
   });
+
+  it('shows the announcements that held a request back', () => {
+    const lines = [
+      line('n1', {
+        time: 500,
+        event: 'limit-announced',
+        upstream: 'i-1',
+        service: 's',
+        perSecond: 1.4,
+      }),
+      line('n1', {
+        time: 510,
+        event: 'pause-announced',
+        upstream: 'i-2',
+        service: 'other',
+        forMs: 9,
+      }),
+      line('n1', {
+        time: 1000,
+        event: 'request',
+        request: 'h',
+        service: 's',
+        outcome: 'refused',
+        why: 'held-back',
+        retryAfterMs: 700,
+        upstream: '',
+      }),
+    ];
+    const explained = explainRequest(lines, 'h');
+    expect(explained.length).toEqual(3);
+    expect(explained[0]?.includes('"perSecond":1.4')).toEqual(true);
+    expect(explained[2]).toEqual(
+      'cause: all upstreams of s had announced limits, pauses or departures; the gateway refused it for 700 ms and it did not run',
+    );
+  });
 });
