--- a/test/soak/gateways/faulted-fleet.ts
+++ b/test/soak/gateways/faulted-fleet.ts
@@ -8,6 +8,7 @@
 import { configOf, freePorts, routeOf, settingsText } from '../../gateway/harness';
 import { ManagedProcess } from '../../process/managed-process';
 
+import { announceLimit, askForPause, sayLeaving } from './announcing';
 import { Callers } from './callers';
 import { OutcomeRecorder, type Violation } from './outcome-recorder';
 import { drawSchedule, hasPromptUpdates, type ScheduledFault, type Fault } from './schedule';
@@ -95,7 +96,9 @@
       const { recorder } = fleet;
       const upstreams = fleet.upstreams.map(({ upstream }) => upstream);
       const isTimed = timed && hasPromptUpdates(seed);
-      const late = isTimed ? recorder.checkDepartures(upstreams) : [];
+      const late = isTimed
+        ? [...recorder.checkDepartures(upstreams), ...recorder.checkLimits(upstreams)]
+        : [];
       return {
         violations: [...recorder.check(upstreams), ...late],
         requests: recorder.outcomes.length,
@@ -130,6 +133,7 @@
     const host = this.gateways[gateway];
     if (!host || host.process) return;
     host.life += 1;
+    this.recorder.noteDisturbance();
     const env = { REDWINGMOUNT_NODE_FILE: host.file };
     host.process = new ManagedProcess(host.address, [GATEWAY_PROGRAM], env);
   }
@@ -165,8 +169,10 @@
         return this.endProcess(fault.gateway, fault.kind, durationMs);
       case 'pause': {
         const paused = this.gateways[fault.gateway]?.process;
+        this.recorder.noteDisturbance();
         paused?.freeze();
         await sleep(durationMs);
+        this.recorder.noteDisturbance();
         paused?.thaw();
         return undefined;
       }
@@ -210,6 +216,24 @@
         this.store.compact('keyed.servers');
         this.store.compact('keyed.op');
         return undefined;
+      case 'store-copy':
+        this.store.mood = 'reset';
+        this.store.restoreCopy(Date.now() - fault.ageMs);
+        await sleep(durationMs);
+        this.store.mood = 'well';
+        await sleep(REREGISTER_DELAY_MS);
+        this.publishConfig(this.version);
+        this.upstreams.filter(({ isActive }) => isActive).forEach((each) => each.register('ready'));
+        return undefined;
+      case 'limit':
+        this.recorder.limits.push(
+          ...(await announceLimit(this.upstreams[fault.upstream], fault.perSecond)),
+        );
+        return undefined;
+      case 'ask-pause':
+        return askForPause(this.upstreams[fault.upstream], durationMs);
+      case 'say-leaving':
+        return sayLeaving(this.upstreams[fault.upstream]);
     }
   }
 
@@ -222,6 +246,7 @@
     const ended = host?.process;
     if (!host || !ended) return;
     host.process = undefined;
+    this.recorder.noteDisturbance();
     ended.thaw();
     if (how === 'stop') this.recorder.noteStop(gateway, host.life);
     await (how === 'stop' ? ended.stop() : ended.kill());
--- a/test/soak/gateways/outcome-recorder.ts
+++ b/test/soak/gateways/outcome-recorder.ts
@@ -37,6 +37,18 @@
   readonly rejoinedAt: number;
 }
 
+/** A period in Unix milliseconds in which the limit that an upstream announces binds. */
+export interface LimitPeriod {
+  readonly id: string;
+  readonly perSecond: number;
+  readonly from: number;
+  readonly until: number;
+}
+
+const LIMIT_WINDOW_MS = 4000;
+/** Time after the start, end or pause of a process in which limits are not checked. */
+const DISTURBANCE_MS = 3500;
+
 /** A violated invariant. */
 export interface Violation {
   /** The invariant that was violated, as text. */
@@ -74,12 +86,41 @@
 
   readonly departures: Departure[] = [];
 
+  readonly limits: LimitPeriod[] = [];
+
+  /** Times at which a gateway's process was started, ended or paused. */
+  private readonly disturbedAt: number[] = [];
+
   /** Processes that ended by a planned stop, as `gateway life`. */
   private readonly stoppedProcesses = new Set<string>();
 
   /** Newest configuration version seen in force, by process as `gateway life`. */
   private readonly newestVersionSeen = new Map<string, number>();
 
+  /** Records that a gateway's process starts, ends or is paused. */
+  noteDisturbance(): void {
+    this.disturbedAt.push(Date.now());
+  }
+
+  /** Returns a violation for each upstream that got more than its limit allows in some window. */
+  checkLimits(upstreams: readonly PlatformUpstream[]): readonly Violation[] {
+    return this.limits.flatMap(({ id, perSecond, from, until }) => {
+      const allowed = (1.5 * perSecond * LIMIT_WINDOW_MS) / 1000 + 5;
+      const times = (upstreams.find((upstream) => upstream.id === id)?.received ?? [])
+        .map(({ at }) => at)
+        .filter((at) => at >= from && at < until);
+      const isDisturbed = (start: number): boolean =>
+        this.disturbedAt.some((at) => at > start - DISTURBANCE_MS && at < start + LIMIT_WINDOW_MS);
+      const counts = times
+        .filter((start) => !isDisturbed(start))
+        .map((start) => times.filter((at) => at >= start && at < start + LIMIT_WINDOW_MS).length);
+      const most = Math.max(0, ...counts);
+      if (most <= allowed) return [];
+      const detail = `${id} got ${most} requests in 4 s at ${perSecond}/s, ${allowed} allowed`;
+      return [{ promise: 'an upstream gets no more than its announced limit allows', detail }];
+    });
+  }
+
   /** Records that a gateway's process is about to be stopped as planned. */
   noteStop(gateway: number, life: number): void {
     this.stoppedProcesses.add(`${gateway} ${life}`);
--- a/test/soak/gateways/schedule.ts
+++ b/test/soak/gateways/schedule.ts
@@ -23,7 +23,15 @@
   /** Publishes a new version, or publishes the previous version again. */
   | { readonly kind: 'config' | 'old-config' }
   /** The store deletes all records but the newest of each key. */
-  | { readonly kind: 'compaction' };
+  | { readonly kind: 'compaction' }
+  /** The store comes back from a copy that is `ageMs` old; what was lost is written again. */
+  | { readonly kind: 'store-copy'; readonly ageMs: number }
+  /** An upstream announces a rate limit for some seconds. */
+  | { readonly kind: 'limit'; readonly upstream: number; readonly perSecond: number }
+  /** An upstream sheds and asks for a pause. */
+  | { readonly kind: 'ask-pause'; readonly upstream: number }
+  /** An upstream says that it leaves, with its registration unchanged, and is started again. */
+  | { readonly kind: 'say-leaving'; readonly upstream: number };
 
 /** The fault of a link: `up` is the direction toward the target, `down` the one back. */
 export type LinkFault =
@@ -75,6 +83,10 @@
   'config',
   'old-config',
   'compaction',
+  'store-copy',
+  'limit',
+  'ask-pause',
+  'say-leaving',
 ];
 /** Faults under which gateways may get updates from the store late. */
 const UPDATE_DELAYING_FAULTS: ReadonlySet<Fault['kind']> = new Set([
@@ -83,11 +95,13 @@
   'lapse',
   'pause',
   'compaction',
+  'store-copy',
 ]);
 /** One seed in this many has none of these faults, so that time bounds on updates can be checked. */
 const PROMPT_UPDATE_SEED_STRIDE = 3;
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 3000;
+const MAX_COPY_AGE_MS = 5000;
 /** Mean time between the starts of two faults; faults overlap. */
 const MEAN_FAULT_GAP_MS = 500;
 
@@ -134,7 +148,13 @@
       case 'upstream-link':
         return { kind, upstream, link: drawLink() };
       case 'departure':
+      case 'ask-pause':
+      case 'say-leaving':
         return { kind, upstream };
+      case 'limit':
+        return { kind, upstream, perSecond: (1 + upTo(50)) / 10 };
+      case 'store-copy':
+        return { kind, ageMs: upTo(MAX_COPY_AGE_MS) };
       case 'lapse':
       case 'config':
       case 'old-config':
