Keep datagrams of observations and beliefs within a packet

Cause, found when measuring the limits that observations now carry: 24 good observations make a datagram of 1,446 bytes, 2,358 with limits; above 1,400 it travels in fragments, all of which must arrive.

Change: 12 observations or beliefs in one datagram at most.

--- a/src/gateway/observations.ts
+++ b/src/gateway/observations.ts
@@ -26,7 +26,7 @@
  */
 const GOOD_REPORT_INTERVAL_MS: Millis = 250;
 /** Maximum number of observations or beliefs in one message, which has to fit into a datagram. */
-const MAX_ITEMS_PER_MESSAGE_COUNT = 24;
+const MAX_ITEMS_PER_MESSAGE_COUNT = 12;
 
 /** Observations of a service's upstreams by one gateway, for the others. */
 export interface ObservationsMessage {
--- a/src/gateway/peer-link.ts
+++ b/src/gateway/peer-link.ts
@@ -19,7 +19,7 @@
 export type PeerAddress = Pick<NodeIdentity, 'address' | 'peerPort' | 'datagramVersion'>;
 
 /** Size in bytes above which a datagram is counted as large, as IP would fragment it. */
-const MAX_DATAGRAM_BYTES = 1400;
+export const MAX_DATAGRAM_BYTES = 1400;
 
 /**
  * Sends and receives UDP datagrams between gateways. Lost datagrams are not repeated; later messages make up for them.
--- a/test/gateway/datagram.test.ts
+++ b/test/gateway/datagram.test.ts
@@ -4,7 +4,10 @@
 
 import { decodeMembershipMessage, type MembershipMessage } from '../../src/core/membership';
 import { DATAGRAM_VERSION, decodeDatagram, encodeDatagram } from '../../src/gateway/datagram';
-import { feedPositionOf } from '../../src/model';
+import { createBeliefMessages, ObservationOutbox } from '../../src/gateway/observations';
+import { MAX_DATAGRAM_BYTES } from '../../src/gateway/peer-link';
+import { feedPositionOf, type GatewayUpstream } from '../../src/model';
+import { UpstreamStats } from '../../src/core/placement';
 
 const name = fc.string({ minLength: 1, maxLength: 20 });
 const count = fc.nat();
@@ -54,6 +57,18 @@
 const received = (bytes: Buffer): MembershipMessage =>
   decodeMembershipMessage(decodeDatagram(bytes)?.body).unsafeCoerce();
 
+const upstream: GatewayUpstream = {
+  id: 'u',
+  service: 's',
+  endpoint: { address: '127.0.0.1', port: 1 },
+  dataCentre: 'a',
+  slots: 2,
+  state: 'ready',
+  born: 1,
+  reportSequence: 1,
+  warmedUpAt: 0,
+};
+
 describe('datagrams between gateways', () => {
   const positions = [3, -1] as const;
 
@@ -118,4 +133,26 @@
     expect(decodeDatagram(Buffer.from('["membership",{},[1]]'))).toEqual(undefined);
     expect(decodeDatagram(Buffer.from('["other",{},[1,2]]'))).toEqual(undefined);
   });
+
+  it('of observations or beliefs fit into a packet, also where all upstreams name limits', () => {
+    const clock = { now: () => 1000, wall: () => 0 };
+    const sizes: number[] = [];
+    const outbox = new ObservationOutbox(clock, (body) =>
+      sizes.push(encodeDatagram({ topic: 'sightings', body, positions }, DATAGRAM_VERSION).length),
+    );
+    const limit = { perSecond: 1.25, heardAgo: 250 };
+    const ids = Array.from({ length: 60 }, (_, i) => `i-ddb08889${10 + i}`);
+    ids.forEach((id) => {
+      const stats = new UpstreamStats({ ...upstream, id, born: 1_789_123_087_055 }, undefined);
+      stats.terms.adoptLimit({ rate: limit.perSecond, heardAt: 750 });
+      outbox.add('bookings-of-the-coast', stats, 'good', 500);
+    });
+    outbox.close();
+    const beliefs = ids.map((id) => ({ id, born: 1_789_123_087_055, ill: 0.123456789, limit }));
+    createBeliefMessages('bookings-of-the-coast', beliefs).forEach((body) =>
+      sizes.push(encodeDatagram({ topic: 'beliefs', body, positions }, DATAGRAM_VERSION).length),
+    );
+    expect(sizes.length > 1).toEqual(true);
+    expect(Math.max(...sizes) <= MAX_DATAGRAM_BYTES).toEqual(true);
+  });
 });
