Split the exchange of evidence from the fleet, and explain new terms

Found when reading the diff: fleet.ts had 339 lines and two concepts, the members with their owners, and what owners tell each other of upstreams. The latter is a class of its own now, without a change of behaviour.

--- a/src/core/announcements/sending-host-history.ts
+++ b/src/core/announcements/sending-host-history.ts
@@ -9,15 +9,16 @@
 /** The same where most hosts are lost, as they may go on without this one. */
 const MAJORITY_LOST_HOLD_MS: Millis = 60_000;
 
-/** Why a host that is no owner still has its share, and since when. */
+/** Why a host has a share of the limits, and since when. */
 interface Retention {
+  /** `released`: no owner any more, and perhaps not aware of it; `lost`: not heard from. */
   readonly kind: 'owner' | 'released' | 'lost';
   readonly since: Instant;
 }
 
 /**
  * Tells the hosts that share the limits of one service's upstreams. A share passes to others only
- * once its host has given it up, by leaving or as another owner's, or has long been lost: hosts
+ * once its host has given it up, by leaving or as no owner any more, or has long been lost: hosts
  * agree on nothing, and one that is cut off goes on sending. With most hosts lost, this one is
  * more likely cut off itself.
  */
--- a/src/core/announcements/terms-registry.ts
+++ b/src/core/announcements/terms-registry.ts
@@ -15,7 +15,7 @@
     { readonly born: number; readonly terms: UpstreamTerms }
   >();
 
-  /** Returns the terms of an upstream's run; undefined if it is not the one last asked for. */
+  /** Returns the terms of an upstream's run; undefined if another run is known. */
   find({ id, born }: Pick<GatewayUpstream, 'id' | 'born'>): UpstreamTerms | undefined {
     const known = this.termsById.get(id);
     return known?.born === born ? known.terms : undefined;
--- a/src/core/announcements/upstream-terms.ts
+++ b/src/core/announcements/upstream-terms.ts
@@ -27,11 +27,13 @@
   readonly heardAgo: Millis;
 }
 
+/** Returns a limit as it is told at `now`. */
 export const toLimitNews = ({ rate, heardAt }: AnnouncedLimit, now: Instant): LimitNews => ({
   perSecond: rate ?? null,
   heardAgo: Math.max(0, Math.round(now - heardAt)),
 });
 
+/** Returns a limit that was told at `now`. */
 export const fromLimitNews = (
   { perSecond, heardAgo }: LimitNews,
   now: Instant,
--- /dev/null
+++ b/src/gateway/evidence-exchange.ts
@@ -0,0 +1,127 @@
+import type { TermsChange } from '../core/announcements';
+import type { EvidenceKind, UpstreamStats } from '../core/placement';
+import type { Incarnation, Instant, Member, ServiceName, UpstreamId } from '../model';
+
+import { logTermsChanges } from './announcements';
+import type { GatewayContext } from './context';
+import { DATAGRAM_VERSION } from './datagram';
+import {
+  createBeliefMessages,
+  decodeBeliefs,
+  decodeObservations,
+  ObservationOutbox,
+  type BeliefsMessage,
+} from './observations';
+import type { DatagramLink } from './peer-link';
+import type { ServiceScheduler } from './service-scheduler';
+
+/** Functions of the fleet that the exchange calls. */
+interface EvidenceService {
+  /** Returns the owners of a service without this gateway. */
+  otherOwners(service: ServiceName): readonly Member[];
+  /** Returns the schedulers in use, by service name. */
+  schedulers(): ReadonlyMap<ServiceName, ServiceScheduler>;
+}
+
+/**
+ * Exchanges with the other owners of a service what this gateway knows of its upstreams:
+ * observations as they are made, beliefs and announced limits on request.
+ */
+export class EvidenceExchange {
+  private readonly outbox: ObservationOutbox;
+
+  /** For each service that this gateway owns, the other owners that it has asked for beliefs. */
+  private readonly askedOwnersByService = new Map<ServiceName, ReadonlySet<Incarnation>>();
+
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly link: DatagramLink,
+    private readonly service: EvidenceService,
+  ) {
+    this.outbox = new ObservationOutbox(context.clock, (message) =>
+      service
+        .otherOwners(message.service)
+        .forEach((owner) => link.send(owner, 'sightings', message)),
+    );
+  }
+
+  /** Queues an observation for the other owners; `sentAt` is when its attempt began. */
+  report(
+    service: ServiceName,
+    stats: UpstreamStats,
+    evidence: EvidenceKind,
+    sentAt: Instant,
+  ): void {
+    this.outbox.add(service, stats, evidence, sentAt);
+  }
+
+  /** Whether this gateway has asked the other owners of the service since it became one. */
+  hasAsked(service: ServiceName): boolean {
+    return this.askedOwnersByService.has(service);
+  }
+
+  /** Asks each other owner of a service once for its beliefs; owners are discovered one by one. */
+  requestBeliefs(service: ServiceName): void {
+    const { address, port: peerPort } = this.context.settings.listen.peers;
+    const asked = this.askedOwnersByService.get(service) ?? new Set();
+    const otherOwners = this.service.otherOwners(service);
+    const from = { address, peerPort, datagramVersion: DATAGRAM_VERSION };
+    const message: BeliefsMessage = { kind: 'wanted', service, from };
+    otherOwners
+      .filter((owner) => !asked.has(owner.incarnation))
+      .forEach((owner) => this.link.send(owner, 'beliefs', message));
+    this.askedOwnersByService.set(
+      service,
+      new Set(otherOwners.map(({ incarnation }) => incarnation)),
+    );
+  }
+
+  /** Forgets whom this gateway has asked, as it no longer owns the service. */
+  forget(service: ServiceName): void {
+    this.askedOwnersByService.delete(service);
+  }
+
+  /** Takes in a message of topic `sightings`. */
+  onObservations(body: unknown): void {
+    const { clock, telemetry } = this.context;
+    const message = decodeObservations(body);
+    if (!message) telemetry.count('datagrams_refused', { reason: 'sightings' });
+    const balancer = message && this.service.schedulers().get(message.service)?.balancer;
+    message?.sightings.forEach((sighting) => {
+      const changes = balancer?.applyObservation(sighting, clock.now()) ?? [];
+      this.logChanges(message.service, sighting.id, changes);
+    });
+  }
+
+  /** Takes in a message of topic `beliefs`, and answers a request for them. */
+  onBeliefs(body: unknown): void {
+    const { clock, telemetry } = this.context;
+    const message = decodeBeliefs(body);
+    if (!message) {
+      telemetry.count('datagrams_refused', { reason: 'beliefs' });
+      return;
+    }
+    const now = clock.now();
+    const balancer = this.service.schedulers().get(message.service)?.balancer;
+    switch (message.kind) {
+      case 'told':
+        message.beliefs.forEach((belief) => {
+          const changes = balancer?.adoptBelief(belief, now) ?? [];
+          this.logChanges(message.service, belief.id, changes);
+        });
+        return;
+      case 'wanted':
+        createBeliefMessages(message.service, balancer?.beliefs(now) ?? []).forEach((told) =>
+          this.link.send(message.from, 'beliefs', told),
+        );
+    }
+  }
+
+  close(): void {
+    this.outbox.close();
+  }
+
+  private logChanges(service: ServiceName, id: UpstreamId, changes: readonly TermsChange[]): void {
+    logTermsChanges(this.context.telemetry, { id, service }, changes, 'peer');
+  }
+}
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -2,33 +2,16 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
 import { capacityOf, ownersOf, type HostGroup, type HostGroups } from '../core/gateway';
-import type { TermsChange } from '../core/announcements';
 import { decodeMembershipMessage, Membership, type MembershipEvent } from '../core/membership';
 import type { EvidenceKind, UpstreamStats } from '../core/placement';
-import type {
-  DataCentre,
-  Incarnation,
-  Instant,
-  Member,
-  Millis,
-  ServiceName,
-  UpstreamId,
-} from '../model';
+import type { DataCentre, Incarnation, Instant, Member, Millis, ServiceName } from '../model';
 
-import { logTermsChanges } from './announcements';
 import type { GatewayContext } from './context';
 import { DATAGRAM_VERSION, type FeedPositions, type PeerTopic } from './datagram';
+import { EvidenceExchange } from './evidence-exchange';
 import { LimitSharing } from './limit-sharing';
 import { DatagramLink } from './peer-link';
 import type { ServiceScheduler } from './service-scheduler';
-import {
-  createBeliefMessages,
-  decodeBeliefs,
-  decodeObservations,
-  ObservationOutbox,
-  type BeliefsMessage,
-  type ObservationsMessage,
-} from './observations';
 
 /** Functions of the gateway that its fleet calls. */
 export interface FleetService {
@@ -63,7 +46,7 @@
 
   private readonly membership: Membership;
 
-  private readonly outbox: ObservationOutbox;
+  private readonly evidence: EvidenceExchange;
 
   /** Identifies this run of the process. */
   private readonly incarnation: Incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
@@ -76,9 +59,6 @@
   /** Cache of the owners by service; cleared when the members, routes or upstreams change. */
   private readonly owners = new Map<ServiceName, readonly Member[]>();
 
-  /** For each service that this gateway owns, the other owners that it has asked for beliefs. */
-  private readonly askedOwnersByService = new Map<ServiceName, ReadonlySet<Incarnation>>();
-
   /** Tells the hosts that share the limits which upstreams announce. */
   readonly limitSharing: LimitSharing;
 
@@ -115,7 +95,10 @@
       clock.now(),
       xoroshiro128plus(randomBytes(SEED_BYTES).readInt32LE(0)),
     );
-    this.outbox = new ObservationOutbox(clock, (message) => this.sendToOwners(message));
+    this.evidence = new EvidenceExchange(context, this.link, {
+      otherOwners: (name) => this.otherOwners(name),
+      schedulers: () => service.schedulers(),
+    });
   }
 
   /** Whether this gateway has joined the membership. */
@@ -159,7 +142,7 @@
   stop(): void {
     this.applyEvent({ kind: 'stop' });
     clearInterval(this.tickTimer);
-    this.outbox.close();
+    this.evidence.close();
     this.link.close();
   }
 
@@ -197,7 +180,7 @@
     evidence: EvidenceKind,
     sentAt: Instant,
   ): void {
-    this.outbox.add(service, stats, evidence, sentAt);
+    this.evidence.report(service, stats, evidence, sentAt);
   }
 
   /**
@@ -208,7 +191,7 @@
     this.owners.clear();
     this.service.schedulers().forEach(({ name }) => {
       const isOwner = this.isOwnerOf(name);
-      if (isOwner !== this.askedOwnersByService.has(name)) {
+      if (isOwner !== this.evidence.hasAsked(name)) {
         this.context.telemetry.event(isOwner ? 'owners-joined' : 'owners-left', {
           service: name,
           owners: this.ownersFor(name).length,
@@ -216,27 +199,11 @@
         });
       }
       this.limitSharing.update(name);
-      if (isOwner) this.requestBeliefs(name);
-      else this.askedOwnersByService.delete(name);
+      if (isOwner) this.evidence.requestBeliefs(name);
+      else this.evidence.forget(name);
     });
   }
 
-  /** Asks each other owner of a service once for its beliefs; owners are discovered one by one. */
-  private requestBeliefs(service: ServiceName): void {
-    const { address, port: peerPort } = this.context.settings.listen.peers;
-    const asked = this.askedOwnersByService.get(service) ?? new Set();
-    const otherOwners = this.otherOwners(service);
-    const from = { address, peerPort, datagramVersion: DATAGRAM_VERSION };
-    const message: BeliefsMessage = { kind: 'wanted', service, from };
-    otherOwners
-      .filter((owner) => !asked.has(owner.incarnation))
-      .forEach((owner) => this.link.send(owner, 'beliefs', message));
-    this.askedOwnersByService.set(
-      service,
-      new Set(otherOwners.map(({ incarnation }) => incarnation)),
-    );
-  }
-
   private ownersFor(service: ServiceName): readonly Member[] {
     const known = this.owners.get(service);
     if (known) return known;
@@ -261,14 +228,8 @@
     return this.ownersFor(service).filter(({ address }) => address !== self);
   }
 
-  private sendToOwners(message: ObservationsMessage): void {
-    this.otherOwners(message.service).forEach((owner) =>
-      this.link.send(owner, 'sightings', message),
-    );
-  }
-
   private onMessage(topic: PeerTopic, body: unknown): void {
-    const { clock, telemetry } = this.context;
+    const { telemetry } = this.context;
     switch (topic) {
       case 'membership':
         // A gateway that answers before it has joined would be taken for a member.
@@ -278,49 +239,14 @@
           Right: (message) => this.applyEvent({ kind: 'message', message }),
         });
         return;
-      case 'sightings': {
-        const message = decodeObservations(body);
-        if (!message) telemetry.count('datagrams_refused', { reason: 'sightings' });
-        const balancer = message && this.service.schedulers().get(message.service)?.balancer;
-        message?.sightings.forEach((sighting) => {
-          const changes = balancer?.applyObservation(sighting, clock.now()) ?? [];
-          this.logTermsChanges(message.service, sighting.id, changes);
-        });
-        return;
-      }
-      case 'beliefs': {
-        const message = decodeBeliefs(body);
-        if (message) this.onBeliefs(message);
-        else telemetry.count('datagrams_refused', { reason: 'beliefs' });
-      }
-    }
-  }
-
-  private onBeliefs(message: BeliefsMessage): void {
-    const now = this.context.clock.now();
-    const balancer = this.service.schedulers().get(message.service)?.balancer;
-    switch (message.kind) {
-      case 'told':
-        message.beliefs.forEach((belief) => {
-          const changes = balancer?.adoptBelief(belief, now) ?? [];
-          this.logTermsChanges(message.service, belief.id, changes);
-        });
+      case 'sightings':
+        this.evidence.onObservations(body);
         return;
-      case 'wanted':
-        createBeliefMessages(message.service, balancer?.beliefs(now) ?? []).forEach((told) =>
-          this.link.send(message.from, 'beliefs', told),
-        );
+      case 'beliefs':
+        this.evidence.onBeliefs(body);
     }
   }
 
-  private logTermsChanges(
-    service: ServiceName,
-    id: UpstreamId,
-    changes: readonly TermsChange[],
-  ): void {
-    logTermsChanges(this.context.telemetry, { id, service }, changes, 'peer');
-  }
-
   /** Applies an event to the membership and carries out its effects. */
   private applyEvent(event: MembershipEvent): void {
     this.membership.apply(event, this.context.clock.now()).effects.forEach((effect) => {
