Keep the latest era when a page of an earlier one comes late

Cause, found when reading the diff: the registry took the era of the last page, also of one that a read in an earlier era brought late. An upstream that expired then counted as departed in the earlier era, and its next entry with the same sequence number was taken for one of a copy.

Change: the list of upstreams keeps the latest era itself.

--- a/src/core/gateway/upstream-list.ts
+++ b/src/core/gateway/upstream-list.ts
@@ -73,6 +73,9 @@
   /** The last reports of upstreams that have left, the latest to leave last. */
   private readonly departed = new Map<UpstreamId, DepartedUpstream>();
 
+  /** The latest era of the store in a change. */
+  private era = 0;
+
   get size(): number {
     return this.upstreams.size;
   }
@@ -108,14 +111,15 @@
    * stays out if a later `era` of the store shows an earlier report of it: that comes from a copy.
    */
   apply(change: UpstreamChange, keepUntil?: Instant, era = 0): UpstreamListEvent | undefined {
+    this.era = Math.max(this.era, era);
     switch (change.kind) {
       case 'removed':
-        return this.remove(change.id, keepUntil, era);
+        return this.remove(change.id, keepUntil);
       case 'put': {
         const { upstream } = change;
         const known = this.upstreams.get(upstream.id);
         if (known && isOutdated(upstream, known)) return undefined;
-        if (!known && this.hasLeftBefore(upstream, era)) return undefined;
+        if (!known && this.hasLeftBefore(upstream)) return undefined;
         const wasLapsed = this.expiryById.delete(upstream.id);
         this.upstreams.set(upstream.id, upstream);
         const event = listEventOf(upstream, known);
@@ -136,9 +140,9 @@
   /**
    * Removes the upstreams that have not registered again in time, and returns an event for each.
    */
-  expire(now: Instant, era = 0): readonly UpstreamListEvent[] {
+  expire(now: Instant): readonly UpstreamListEvent[] {
     const due = [...this.expiryById].filter(([, until]) => now >= until).map(([id]) => id);
-    return due.flatMap((id) => this.remove(id, undefined, era) ?? []);
+    return due.flatMap((id) => this.remove(id) ?? []);
   }
 
   /**
@@ -148,17 +152,13 @@
     return this.expiryById.size === 0 ? undefined : Math.min(...this.expiryById.values());
   }
 
-  private hasLeftBefore({ id, born, reportSequence }: GatewayUpstream, era: number): boolean {
+  private hasLeftBefore({ id, born, reportSequence }: GatewayUpstream): boolean {
     const departed = this.departed.get(id);
     if (departed?.born !== born) return false;
-    return era > departed.era && reportSequence <= departed.reportSequence;
+    return this.era > departed.era && reportSequence <= departed.reportSequence;
   }
 
-  private remove(
-    id: UpstreamId,
-    keepUntil: Instant | undefined,
-    era: number,
-  ): UpstreamListEvent | undefined {
+  private remove(id: UpstreamId, keepUntil?: Instant): UpstreamListEvent | undefined {
     const upstream = this.upstreams.get(id);
     if (!upstream) return undefined;
     if (keepUntil !== undefined && upstream.state === 'ready') {
@@ -170,7 +170,7 @@
     this.upstreams.delete(id);
     const { born, reportSequence } = upstream;
     this.departed.delete(id);
-    this.departed.set(id, { born, reportSequence, era });
+    this.departed.set(id, { born, reportSequence, era: this.era });
     if (this.departed.size > MAX_DEPARTED_COUNT) {
       const [oldest] = this.departed.keys();
       if (oldest !== undefined) this.departed.delete(oldest);
--- a/src/gateway/upstream-registry.ts
+++ b/src/gateway/upstream-registry.ts
@@ -30,9 +30,6 @@
 export class UpstreamRegistry {
   private readonly list = new UpstreamList();
 
-  /** The store's era in the last page. */
-  private era = 0;
-
   private expiryTimer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -43,6 +40,7 @@
   /** Applies a page of the upstream feed, read at the times of `timing`. */
   onPage(page: FeedPage<UpstreamChange>, timing: ReadTiming): void {
     const { drainTime, stabilityWindow } = this.context.settings.bounds;
+    const era = eraOf(page.position);
     const changes = page.isSnapshot ? this.list.changesFromSnapshot(page.items) : page.items;
     const keepUntil = lapsedUntil({
       count: this.list.unannouncedRemovalCount(changes),
@@ -55,9 +53,8 @@
       failedReadAt: timing.failedReadAt,
       storeReturnedAt: timing.storeReturnedAt,
     });
-    this.era = eraOf(page.position);
     changes.forEach((change) => {
-      const event = this.list.apply(change, keepUntil, this.era);
+      const event = this.list.apply(change, keepUntil, era);
       if (event) this.onEvent(event);
     });
   }
@@ -106,7 +103,7 @@
   private scheduleExpiry(delay: Millis): void {
     this.expiryTimer ??= setTimeout(() => {
       this.expiryTimer = undefined;
-      this.list.expire(this.context.clock.now(), this.era).forEach((event) => this.onEvent(event));
+      this.list.expire(this.context.clock.now()).forEach((event) => this.onEvent(event));
       const next = this.list.nextExpiry();
       if (next !== undefined) this.scheduleExpiry(next - this.context.clock.now());
     }, delay);
--- a/test/core/gateway/upstreams.test.ts
+++ b/test/core/gateway/upstreams.test.ts
@@ -65,6 +65,15 @@
     expect(list.get('u')?.state).toEqual('ready');
   });
 
+  it('takes back what expired in the era of its report, though a page of an earlier one came late', () => {
+    const list = new UpstreamList();
+    list.apply(put(entry({ reportSequence: 8 })), undefined, 2);
+    list.apply({ kind: 'removed', id: 'u' }, 100, 2);
+    list.apply({ kind: 'removed', id: 'unknown' }, undefined, 1);
+    expect(list.expire(200).length).toEqual(1);
+    expect(list.apply(put(entry({ reportSequence: 8 })), undefined, 2)?.kind).toEqual('joined');
+  });
+
   it('keeps out what has left if a copy of a later era shows an earlier report of it', () => {
     const list = new UpstreamList();
     list.apply(put(entry({ reportSequence: 8 })), undefined, 1);
