Log which request an upstream crashed under

Cause: no line said that an upstream had crashed, and a request has a new id at each arrival, so that the logs could not tell a request that crashes its upstreams from a bystander.

Change: after a connection breaks off under a request, the gateway asks the upstream for a new one; if that is refused, it logs upstream-crashed with a digest of the request's method, host, path, credentials and body, and counts upstream_crashes. Silence proves no crash, since the path may be cut. No decision changes.

--- /dev/null
+++ b/src/core/crashes/index.ts
@@ -0,0 +1,1 @@
+export * from './request-digest';
--- /dev/null
+++ b/src/core/crashes/request-digest.ts
@@ -0,0 +1,2 @@
+/** Identifies a request by its content, in hexadecimal; equal each time the request comes again. */
+export type RequestDigest = string;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -4,7 +4,9 @@
 
 import { headerOf } from './answer-parser';
 import type { GatewayContext } from './context';
+import { isBrokenOff, refusesConnections } from './crash-check';
 import { encodeRequest, outcomeOf, type CallerRequest } from './forwarding';
+import { digestOf } from './request-digest';
 import type { RequestLog } from './request-log';
 import type { ServiceScheduler } from './service-scheduler';
 import type { ExchangeResult } from './upstream-connection';
@@ -70,6 +72,21 @@
   if (load) stats.recordReportedLoad(load.running, load.waiting, now);
 };
 
+/** Logs a crash of the upstream while it ran the request. */
+const reportCrash = (
+  { telemetry, log }: RequestContext,
+  { request, scheduler, stats }: UpstreamAttempt,
+): void => {
+  telemetry.count('upstream_crashes', { service: scheduler.name });
+  log.logNotable('upstream-crashed', {
+    request: request.id,
+    digest: digestOf(request),
+    service: scheduler.name,
+    upstream: stats.upstream.id,
+    inFlight: stats.inFlight,
+  });
+};
+
 /**
  * Sends a request to an upstream on which it already holds a slot, records the result and releases
  * the slot; with a streamed answer, at the end of the stream.
@@ -123,5 +140,8 @@
   }
   telemetry.latency('attempt', took);
   telemetry.count('attempts', { service: scheduler.name, outcome: outcome.kind });
+  if (isBrokenOff(result) && (await refusesConnections(upstream.endpoint))) {
+    reportCrash(context, attempt);
+  }
   return { outcome, result };
 };
--- /dev/null
+++ b/src/gateway/request-digest.ts
@@ -0,0 +1,31 @@
+import { createHash } from 'node:crypto';
+
+import type { RequestDigest } from '../core/crashes';
+
+import type { CallerRequest } from './forwarding';
+
+/** Headers, in lower case, by which an upstream tells callers apart. */
+const CALLER_HEADERS: ReadonlySet<string> = new Set(['authorization', 'cookie']);
+/** Length in bytes of a digest, a prefix of SHA-256. */
+const DIGEST_BYTES = 12;
+
+/**
+ * Returns a digest that is equal for a request that comes again under another id: of method, host,
+ * target, the caller's credentials and the body.
+ */
+export const digestOf = ({
+  method,
+  host,
+  target,
+  rawHeaders,
+  body,
+}: Pick<CallerRequest, 'method' | 'host' | 'target' | 'rawHeaders' | 'body'>): RequestDigest => {
+  const credentials = rawHeaders.filter((_, i) =>
+    CALLER_HEADERS.has(rawHeaders[i - (i % 2)]?.toLowerCase() ?? ''),
+  );
+  return createHash('sha256')
+    .update(JSON.stringify([method, host.toLowerCase(), target, credentials]))
+    .update(body)
+    .digest('hex')
+    .slice(0, 2 * DIGEST_BYTES);
+};
