--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -62,6 +62,12 @@
   work: number;
   /** Header lines that all its answers carry, such as `Server-Limit: 2`. */
   announces: readonly string[];
+  /** Path whose requests crash it as soon as their work is done; empty if none does. */
+  crashPath: string;
+  /** Number of crashes so far. */
+  readonly crashCount: number;
+  /** Called when it listens again after a crash. */
+  onRestart: (() => void) | undefined;
   /** Requests received, whether they ran or not. */
   readonly received: ReceivedRequest[];
   /** Requests that started to run, in order. */
@@ -72,6 +78,8 @@
 
 /** Body size of the large modes; more than a gateway buffers. */
 export const LARGE_BODY_BYTES = 3 * 2 ** 20;
+/** Time in milliseconds from a crash until the upstream listens again. */
+const RESTART_MS = 1000;
 /** Idle time of a connection after which the mode `drops-idle` resets it. */
 const IDLE_RESET_MS = 120;
 
@@ -104,6 +112,12 @@
 
   announces: readonly string[] = [];
 
+  crashPath = '';
+
+  crashCount = 0;
+
+  onRestart: (() => void) | undefined;
+
   readonly received: ReceivedRequest[] = [];
 
   readonly runs: ReceivedRequest[] = [];
@@ -112,6 +126,8 @@
 
   readonly server = createServer((socket) => this.onConnection(socket));
 
+  private restartTimer: NodeJS.Timeout | undefined;
+
   private readonly sockets = new Set<Socket>();
 
   private connections = 0;
@@ -119,6 +135,7 @@
   constructor(readonly id: string) {}
 
   close(): Promise<void> {
+    clearTimeout(this.restartTimer);
     this.sockets.forEach((socket) => socket.destroy());
     return closeServer(this.server);
   }
@@ -167,6 +184,17 @@
     });
   }
 
+  /** Resets all connections and refuses new ones for `RESTART_MS`. */
+  private crash(): void {
+    if (!this.server.listening) return;
+    this.crashCount += 1;
+    this.server.close();
+    this.sockets.forEach((socket) => socket.resetAndDestroy());
+    this.restartTimer = setTimeout(() => {
+      this.server.listen(this.port, '127.0.0.1', () => this.onRestart?.());
+    }, RESTART_MS);
+  }
+
   private announcedLines(): string {
     return this.announces.map((line) => `${line}\r\n`).join('');
   }
@@ -251,6 +279,7 @@
     };
     setTimeout(() => {
       socket.off('close', onClose);
+      if (this.crashPath !== '' && request.head.includes(` ${this.crashPath} `)) this.crash();
       if (!socket.destroyed) this.writeResponse(socket, request);
     }, this.work);
     socket.once('close', onClose);
