Hold back requests under which three upstreams have crashed

What callers saw: while one request came again and again, all upstreams of its service crashed one after the other, and for seconds no caller of the service was served.

Cause: a failed attempt was put down to the upstream alone. Nothing was kept of the request, so that it was repeated at the next upstream within 2 ms and sent anew at each arrival, by any gateway. The class: a failure put down to the wrong party.

Change: a crash (broken off while it ran, and then refusing connections) is recorded for all requests that the upstream ran, by a digest of method, host, path, credentials and body. Records go to all gateways at once, again to three of them each second, and to those that start. From the second crash on the request is neither repeated nor hedged, from the third on it is refused with 503; a complete answer clears it. One host tries it five minutes later.

Why it works: records merge in any order to the same state, and the refusal is asked again at the moment of sending.

--- a/src/core/crashes/index.ts
+++ b/src/core/crashes/index.ts
@@ -1,1 +1,3 @@
 export * from './request-digest';
+export * from './crash-table';
+export * from './trial-host';
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -5,6 +5,7 @@
 import { headerOf } from './answer-parser';
 import type { GatewayContext } from './context';
 import { isBrokenOff, refusesConnections } from './crash-check';
+import type { CrashExchange } from './crash-exchange';
 import { encodeRequest, outcomeOf, type CallerRequest } from './forwarding';
 import { digestOf } from './request-digest';
 import type { RequestLog } from './request-log';
@@ -16,6 +17,7 @@
 export interface RequestContext extends GatewayContext {
   readonly pool: ConnectionPool;
   readonly log: RequestLog;
+  readonly crashes: CrashExchange;
   /**
    * Returns the number of gateways that share a service's fixed retry budget; 0 if this one does
    * not.
@@ -40,6 +42,8 @@
   readonly why: string;
   /** Ordinal of the attempt within its request, from 1. */
   readonly number: number;
+  /** Whether the request is held back by now, as it crashes upstreams. */
+  readonly isHeld: () => boolean;
   /** When the request is given up. */
   readonly deadline: Instant;
   readonly signal: AbortSignal;
@@ -72,9 +76,9 @@
   if (load) stats.recordReportedLoad(load.running, load.waiting, now);
 };
 
-/** Logs a crash of the upstream while it ran the request. */
+/** Records a crash of the upstream while it ran the request. */
 const reportCrash = (
-  { telemetry, log }: RequestContext,
+  { telemetry, log, crashes }: RequestContext,
   { request, scheduler, stats }: UpstreamAttempt,
 ): void => {
   telemetry.count('upstream_crashes', { service: scheduler.name });
@@ -85,6 +89,7 @@
     upstream: stats.upstream.id,
     inFlight: stats.inFlight,
   });
+  crashes.recordCrash(request, stats.upstream);
 };
 
 /**
@@ -109,7 +114,7 @@
     requestId: request.id,
     method: request.method,
     bytes: () => encodeRequest(request, headerConventions, upstream.id, deadline - clock.now()),
-    maySend: () => stats.terms.mayStillSend(clock.now()),
+    maySend: () => stats.terms.mayStillSend(clock.now()) && !attempt.isHeld(),
     deadline,
     signal,
     idempotent,
@@ -119,8 +124,13 @@
   const outcome = outcomeOf(result, { id: request.id, idempotent }, headerConventions);
   recordResult(context, attempt, outcome, result, took);
   if (result.kind === 'answered' && result.body.kind === 'stream') {
-    result.body.stream.once('close', () => scheduler.release(stats, request.id));
-  } else scheduler.release(stats, request.id);
+    const { stream } = result.body;
+    stream.once('close', () => scheduler.release(stats, request.id));
+    if (outcome.kind === 'served') stream.once('end', () => context.crashes.recordAnswer(request));
+  } else {
+    scheduler.release(stats, request.id);
+    if (outcome.kind === 'served') context.crashes.recordAnswer(request);
+  }
   // A first attempt that succeeds is covered by the log line of its request.
   if (outcome.kind !== 'served' || number > 1) {
     context.log.logNotable('attempt', {
--- a/src/gateway/datagram.ts
+++ b/src/gateway/datagram.ts
@@ -11,8 +11,11 @@
 /** Positions up to which a gateway has read the two feeds; -1 before the first read. */
 export type FeedPositions = readonly [config: FeedPosition, upstreams: FeedPosition];
 
-/** Topics of messages between gateways: `sightings` are observations of upstreams. */
-export type PeerTopic = 'membership' | 'sightings' | 'beliefs';
+/**
+ * Topics of messages between gateways: `sightings` are observations of upstreams, `crashes` tell of
+ * requests that crash them. Builds that don't know a topic drop its datagrams.
+ */
+export type PeerTopic = 'membership' | 'sightings' | 'beliefs' | 'crashes';
 
 /** A datagram; `body` of topic `membership` is a `MembershipMessage`. */
 export interface Datagram {
@@ -30,7 +33,7 @@
 const VERSION_WITHOUT_ERA = 2;
 
 /** Topics by their number in the binary format. */
-const TOPICS: readonly PeerTopic[] = ['membership', 'sightings', 'beliefs'];
+const TOPICS: readonly PeerTopic[] = ['membership', 'sightings', 'beliefs', 'crashes'];
 /** First byte of a datagram in JSON, `[`; no binary one begins with it. */
 const JSON_START = 0x5b;
 
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -7,6 +7,7 @@
 import type { DataCentre, Incarnation, Instant, Member, Millis, ServiceName } from '../model';
 
 import type { GatewayContext } from './context';
+import { CrashExchange } from './crash-exchange';
 import { DATAGRAM_VERSION, type FeedPositions, type PeerTopic } from './datagram';
 import { EvidenceExchange } from './evidence-exchange';
 import { LimitSharing } from './limit-sharing';
@@ -62,6 +63,9 @@
   /** Tells the hosts that share the limits which upstreams announce. */
   readonly limitSharing: LimitSharing;
 
+  /** Knows the requests that crash upstreams. */
+  readonly crashes: CrashExchange;
+
   private tickTimer: NodeJS.Timeout | undefined;
 
   /** Until this time, a gateway that knows no other member gives callers no addresses. */
@@ -95,6 +99,7 @@
       clock.now(),
       xoroshiro128plus(randomBytes(SEED_BYTES).readInt32LE(0)),
     );
+    this.crashes = new CrashExchange(context, this.link);
     this.evidence = new EvidenceExchange(context, this.link, {
       otherOwners: (name) => this.otherOwners(name),
       schedulers: () => service.schedulers(),
@@ -143,6 +148,7 @@
     this.applyEvent({ kind: 'stop' });
     clearInterval(this.tickTimer);
     this.evidence.close();
+    this.crashes.close();
     this.link.close();
   }
 
@@ -244,6 +250,9 @@
         return;
       case 'beliefs':
         this.evidence.onBeliefs(body);
+        return;
+      case 'crashes':
+        this.crashes.onMessage(body);
     }
   }
 
@@ -258,6 +267,7 @@
           this.members = effect.members;
           this.dataCentres = [...new Set(this.members.map(({ dataCentre }) => dataCentre))];
           this.recomputeOwners();
+          this.crashes.onMembers(this.members);
           this.service.onMembers(this.incarnation, this.members);
       }
     });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -140,6 +140,7 @@
       ...context,
       pool: this.pool,
       log: new RequestLog(clock, telemetry),
+      crashes: this.fleet.crashes,
       retryBudgetSharers: (service) => this.fleet.retryBudgetSharersOf(service),
       reportObservation: (scheduler, ...sighting) =>
         this.fleet.reportObservation(scheduler.name, ...sighting),
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -52,6 +52,9 @@
  */
 const NO_UPSTREAM_RETRY_AFTER_MS: Millis = 1000;
 
+/** Largest Retry-After in milliseconds of a request that crashes upstreams. */
+const MAX_HELD_RETRY_AFTER_MS: Millis = 300_000;
+
 /** Destroys the body stream of an answer that nobody reads, which frees its connection. */
 const discardReply = ({ reply }: AttemptResult): void => {
   if (reply?.kind === 'answer' && reply.body.kind === 'stream') reply.body.stream.destroy();
@@ -70,6 +73,9 @@
   /** Number of attempts in which the request ran or may have run. */
   private runs = 0;
 
+  /** Whether the request is held back and sent once for a trial. */
+  private isTrial = false;
+
   /** Number of attempts so far, hedges included. */
   attemptCount = 0;
 
@@ -97,6 +103,8 @@
 
   private async attemptUntilReply(): Promise<GatewayReply> {
     for (;;) {
+      const held = this.replyIfHeld();
+      if (held) return held;
       const placed = await this.scheduler.place(this.placementRequest(), this.request.id);
       switch (placed.kind) {
         case 'cancelled':
@@ -167,6 +175,32 @@
     }
   }
 
+  /** Returns the reply to a request that is held back because it crashes upstreams. */
+  private replyIfHeld(): GatewayReply | undefined {
+    const { crashes, clock } = this.context;
+    const standing = crashes.standingOf(this.request);
+    switch (standing.kind) {
+      case 'clear':
+      case 'suspect':
+        return undefined;
+      case 'trial':
+        this.isTrial = true;
+        crashes.recordTrial(this.request);
+        return undefined;
+      case 'held':
+        crashes.recordRefusal(this.request);
+        return this.finalReply(
+          'crashes-upstreams',
+          Math.min(MAX_HELD_RETRY_AFTER_MS, standing.until - clock.now()),
+        );
+    }
+  }
+
+  /** Whether the request may be sent a second time as far as crashes of upstreams are concerned. */
+  private mayCrashAnother(): boolean {
+    return this.context.crashes.standingOf(this.request).kind === 'clear';
+  }
+
   /** Whether a hedge beside the running attempt stays within the attempts that the route allows. */
   private mayHedge(): boolean {
     return this.idempotent && this.runs + 2 <= this.route.maxAttempts;
@@ -178,6 +212,7 @@
    */
   private startHedge(provenOnly: boolean, purpose: RetryPurpose): RunningAttempt | undefined {
     const { scheduler, context } = this;
+    if (!this.mayCrashAnother()) return undefined;
     const placed = scheduler.placeNow(
       this.placementRequest(),
       this.request.id,
@@ -210,7 +245,7 @@
     const now = this.context.clock.now();
     if (outcome.kind === 'cancelled') return { kind: 'nobody' };
     const step = nextStep(outcome, {
-      idempotent: this.idempotent,
+      idempotent: this.idempotent && this.mayCrashAnother(),
       runs: this.runs,
       maxRuns: this.route.maxAttempts,
       hasTime:
@@ -275,6 +310,7 @@
       stats,
       why,
       number: this.attemptCount,
+      isHeld: () => !this.isTrial && this.context.crashes.standingOf(this.request).kind === 'held',
       deadline: this.deadline,
       signal,
     });
