Log whether a gateway's own path to the upstreams is cut

Cause: each failed connection was logged as one upstream's, so that the logs could not tell a gateway that has lost its links from upstreams that are down, nor whether a gateway knew it.

Change: after a connection failed, a gateway tries bare connections to four upstreams of several services, at most every half second. If none is taken it logs path-cut, tries on, and logs path-restored once two are. A check that ends late, as the process did not run, proves nothing. Silence proves a cut only together with a check. No decision on a request changes yet.

--- /dev/null
+++ b/src/core/path/index.ts
@@ -0,0 +1,1 @@
+export * from './path-state';
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -7,6 +7,7 @@
 import { isBrokenOff, refusesConnections } from './crash-check';
 import type { CrashExchange } from './crash-exchange';
 import { encodeRequest, outcomeOf, type CallerRequest } from './forwarding';
+import type { PathMonitor } from './path-monitor';
 import { digestOf } from './request-digest';
 import type { RequestLog } from './request-log';
 import type { ServiceScheduler } from './service-scheduler';
@@ -18,6 +19,7 @@
   readonly pool: ConnectionPool;
   readonly log: RequestLog;
   readonly crashes: CrashExchange;
+  readonly path: PathMonitor;
   /**
    * Returns the number of gateways that share a service's fixed retry budget; 0 if this one does
    * not.
@@ -120,6 +122,8 @@
     idempotent,
   });
   clearTimeout(overdue);
+  if (result.kind === 'failed' && !result.sent && result.why.startsWith('connect'))
+    context.path.recordFailedConnection();
   const took = clock.now() - sentAt;
   const outcome = outcomeOf(result, { id: request.id, idempotent }, headerConventions);
   recordResult(context, attempt, outcome, result, took);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import { HostGroups, HostRoutes, WeightedRoundRobin, type UpstreamChange } from '../core/gateway';
 import {
   MILLIS_PER_SECOND,
+  type Endpoint,
   type GatewaySettings,
   type Millis,
   type ServiceName,
@@ -20,6 +21,7 @@
 import type { GatewayContext } from './context';
 import { Feeds } from './feeds';
 import type { ReadTiming } from './follower';
+import { PathMonitor } from './path-monitor';
 import { Fleet } from './fleet';
 import type { CallerRequest } from './forwarding';
 import { UpstreamRegistry } from './upstream-registry';
@@ -72,6 +74,8 @@
 
   private readonly fleet: Fleet;
 
+  private readonly path: PathMonitor;
+
   private readonly servers: readonly {
     readonly server: Server;
     readonly at: 'readiness' | 'directory';
@@ -94,9 +98,14 @@
   ) {
     const { settings, clock, telemetry, headerConventions } = context;
     const announcements = new AnnouncementReader(context, this.terms);
-    this.pool = new ConnectionPool(headerConventions.requestId, clock, (upstream, head) =>
-      announcements.read(upstream, head),
-    );
+    this.path = new PathMonitor(context, {
+      endpoints: () => this.readyEndpoints(),
+      onChange: () => {},
+    });
+    this.pool = new ConnectionPool(headerConventions.requestId, clock, (upstream, head) => {
+      this.path.recordContact();
+      announcements.read(upstream, head);
+    });
     const { configFeed, upstreamFeed } = ports;
     this.feeds = new Feeds(context, {
       configFeed,
@@ -141,6 +150,7 @@
       pool: this.pool,
       log: new RequestLog(clock, telemetry),
       crashes: this.fleet.crashes,
+      path: this.path,
       retryBudgetSharers: (service) => this.fleet.retryBudgetSharersOf(service),
       reportObservation: (scheduler, ...sighting) =>
         this.fleet.reportObservation(scheduler.name, ...sighting),
@@ -219,6 +229,7 @@
   private close(): void {
     this.feeds.close();
     this.registry.close();
+    this.path.close();
     [this.callers.server, this.metricsServer, ...this.servers.map(({ server }) => server)].forEach(
       (server) => {
         server.close();
@@ -255,6 +266,16 @@
     return reply;
   }
 
+  /** Returns the endpoints of ready upstreams, those of one service in each list. */
+  private readyEndpoints(): readonly (readonly Endpoint[])[] {
+    return [...this.schedulers.values()].map(({ balancer }) =>
+      balancer
+        .all()
+        .filter(({ upstream }) => upstream.state === 'ready')
+        .map(({ upstream }) => upstream.endpoint),
+    );
+  }
+
   /** Returns the scheduler of a service, created if it does not exist. */
   private scheduler(service: ServiceName): ServiceScheduler {
     const known = this.schedulers.get(service);
