--- /dev/null
+++ b/standins/cuttable-link.ts
@@ -0,0 +1,43 @@
+/** A TCP link that can be cut: open connections are reset and new ones refused until it is restored. */
+import { connect, createServer, type Socket } from 'node:net';
+
+import { closeServer, listen, type StandIn } from './server';
+
+/** A link from `port` to a target port on loopback. */
+export interface CuttableLink extends StandIn {
+  cut(): Promise<void>;
+  restore(): Promise<void>;
+}
+
+/** Starts a link on a free port of loopback. */
+export const startCuttableLink = async (targetPort: number): Promise<CuttableLink> => {
+  const sockets = new Set<Socket>();
+  const server = createServer((client) => {
+    const target = connect({ host: '127.0.0.1', port: targetPort });
+    [client, target].forEach((socket) => {
+      sockets.add(socket);
+      socket.setNoDelay(true);
+      socket.on('error', () => socket.destroy());
+      socket.on('close', () => {
+        sockets.delete(socket);
+        client.destroy();
+        target.destroy();
+      });
+    });
+    client.pipe(target).pipe(client);
+  });
+  const port = await listen(server, 0);
+  const cut = (): Promise<void> => {
+    const closed = server.listening ? closeServer(server) : Promise.resolve();
+    sockets.forEach((socket) => socket.resetAndDestroy());
+    return closed;
+  };
+  return {
+    port,
+    cut,
+    restore: async () => {
+      await listen(server, port);
+    },
+    close: cut,
+  };
+};
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -162,6 +162,20 @@
   return { status: res.status, body: await res.text() };
 };
 
+/** Where a gateway of several runs, and what it shares with the others. */
+export interface HarnessOptions {
+  /** An address of loopback; 127.0.0.1 by default. */
+  readonly address?: string;
+  /** The first of five free ports, the same for all gateways of a fleet. */
+  readonly callersPort?: number;
+  /** Addresses of the fleet's gateways. */
+  readonly seeds?: readonly string[];
+  /** Upstreams that other gateways use too; the harness that started them closes them. */
+  readonly upstreams?: readonly PlatformUpstream[];
+  /** Returns the port at which this gateway reaches an upstream. */
+  readonly portOf?: (upstream: PlatformUpstream) => number;
+}
+
 /** A gateway in this process, with its store, upstreams and recorded events. */
 export class GatewayHarness {
   private constructor(
@@ -175,20 +189,32 @@
       readonly directory: number;
     },
     private readonly client: StoreClient,
+    private readonly options: HarnessOptions,
   ) {}
 
   /**
    * Starts a gateway and its surroundings. With `paths`, puts a configuration with these routes in
    * force and registers the upstreams before it resolves.
    */
-  static async start(upstreamCount: number, paths?: readonly object[]): Promise<GatewayHarness> {
+  static async start(
+    upstreamCount: number,
+    paths?: readonly object[],
+    options: HarnessOptions = {},
+  ): Promise<GatewayHarness> {
     const store = await startStore();
-    const upstreams = await Promise.all(
-      Array.from({ length: upstreamCount }, (_, i) => startPlatformUpstream(`i-${i}`)),
-    );
-    const callers = await freePorts(5);
+    const upstreams =
+      options.upstreams ??
+      (await Promise.all(
+        Array.from({ length: upstreamCount }, (_, i) => startPlatformUpstream(`i-${i}`)),
+      ));
+    const callers = options.callersPort ?? (await freePorts(5));
     const [readiness, directory] = [callers + 1, callers + 2];
-    const settings = parseSettings('test', settingsText(callers, store.port)).unsafeCoerce();
+    const seeds = (options.seeds ?? []).map((seed) => `${seed}:${callers}`);
+    const text = settingsText(callers, 1, seeds)
+      .replaceAll(`"${ADDRESS}`, `"${options.address ?? ADDRESS}`)
+      .replace(/(\[platform\]\naddress = ).*/, `$1"${ADDRESS}:${store.port}"`)
+      .replace(/seeds = .*/, `seeds = ${JSON.stringify(seeds)}`);
+    const settings = parseSettings('test', text).unsafeCoerce();
     const telemetry = recordingTelemetry();
     const clock = systemClock;
     const client = new StoreClient(settings.store, clock);
@@ -211,6 +237,7 @@
       telemetry,
       { callers, readiness, directory },
       client,
+      options,
     );
     await gateway.start();
     if (paths) {
@@ -229,7 +256,12 @@
 
   /** Stores the entry of an upstream. */
   register(upstream: PlatformUpstream, more: Parameters<typeof entryOf>[1] = {}): void {
-    this.store.put('keyed.servers', upstream.id, entryOf(upstream, more));
+    const port = this.options.portOf?.(upstream) ?? upstream.port;
+    this.store.put(
+      'keyed.servers',
+      upstream.id,
+      entryOf({ ...upstream, id: upstream.id, port }, more),
+    );
   }
 
   /** Returns the number of recorded events with a name. */
@@ -273,7 +305,7 @@
     return new Promise((resolve, reject) => {
       const req = http.request(
         {
-          host: ADDRESS,
+          host: this.options.address ?? ADDRESS,
           port: this.ports.callers,
           method: options.method ?? 'GET',
           path,
@@ -308,6 +340,7 @@
   async close(): Promise<void> {
     await this.gateway.stop();
     this.client.close();
-    await Promise.all([this.store.close(), ...this.upstreams.map((upstream) => upstream.close())]);
+    const own = this.options.upstreams ? [] : this.upstreams;
+    await Promise.all([this.store.close(), ...own.map((upstream) => upstream.close())]);
   }
 }
