Pass requests on to a peer while the path to the upstreams is cut

What callers saw: at gateways that had lost their links to all upstreams 32 of 255 first tries were served, elsewhere 415 of 433, until the links were back.

Cause: a gateway had no way to an upstream but its own links, and put each failed connection down to the upstream. Requests tried up to 14 upstreams in turn, 200 ms each. The class: a failure put down to the wrong party, here the upstreams in place of the path.

Change: while its path is cut a gateway passes each request on to a peer, an owner of the service first, and to up to three if they decline; the peer never passes it on. What may have run is not passed on again if it can't be repeated. Requests that wait are passed on at once, idle connections are closed, hedges go through a peer. A gateway tells the others that its path is cut; it is then no owner, so that the directory names others. Missing answers over a path in doubt lower no upstream, here or at peers.

Why it works: the verdict takes one check (at most 200 ms), and a peer reaches the upstreams.

--- a/src/gateway/announcements.ts
+++ b/src/gateway/announcements.ts
@@ -47,7 +47,10 @@
   ) {}
 
   /** Reads the head of any answer that came on a connection to an upstream. */
-  read(upstream: GatewayUpstream, { rawHeaders, status }: AnswerHead): void {
+  read(
+    upstream: Pick<GatewayUpstream, 'id' | 'born' | 'service'>,
+    { rawHeaders, status }: AnswerHead,
+  ): void {
     const { clock, telemetry, headerConventions } = this.context;
     const announcement = headerConventions.parseAnnouncement(status, (name) =>
       headersOf(rawHeaders, name),
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -8,6 +8,7 @@
 import type { CrashExchange } from './crash-exchange';
 import { encodeRequest, outcomeOf, type CallerRequest } from './forwarding';
 import type { PathMonitor } from './path-monitor';
+import type { PeerRelay } from './peer-relay';
 import { digestOf } from './request-digest';
 import type { RequestLog } from './request-log';
 import type { ServiceScheduler } from './service-scheduler';
@@ -20,6 +21,7 @@
   readonly log: RequestLog;
   readonly crashes: CrashExchange;
   readonly path: PathMonitor;
+  readonly relay: PeerRelay;
   /**
    * Returns the number of gateways that share a service's fixed retry budget; 0 if this one does
    * not.
@@ -109,8 +111,11 @@
   const sentAt = clock.now();
   const illBefore = Number(faultProbabilityAt(stats.belief, sentAt).toFixed(PROBABILITY_DECIMALS));
   const overdue = setTimeout(() => {
-    stats.applyEvidence('slow', clock.now());
-    context.reportObservation(scheduler, stats, 'slow', sentAt);
+    void context.path.confirm().then((isGood) => {
+      if (!isGood) return;
+      stats.applyEvidence('slow', clock.now());
+      context.reportObservation(scheduler, stats, 'slow', sentAt);
+    });
   }, scheduler.balancer.overdueAfter(route.name));
   const result = await pool.run(upstream, {
     requestId: request.id,
@@ -126,7 +131,11 @@
     context.path.recordFailedConnection();
   const took = clock.now() - sentAt;
   const outcome = outcomeOf(result, { id: request.id, idempotent }, headerConventions);
-  recordResult(context, attempt, outcome, result, took);
+  if (outcome.kind === 'unknown') {
+    void context.path.confirm().then((isGood) => {
+      if (isGood) recordResult(context, attempt, outcome, result, took);
+    });
+  } else recordResult(context, attempt, outcome, result, took);
   if (result.kind === 'answered' && result.body.kind === 'stream') {
     const { stream } = result.body;
     stream.once('close', () => scheduler.release(stats, request.id));
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -7,6 +7,7 @@
 import type { CallerRequest } from './forwarding';
 import type { GatewayContext } from './context';
 import { endToEndHeaders } from './headers';
+import { RELAY_HEADERS } from './relay-headers';
 import { writeError, writeRefusal, writeReply, type CallerReply } from './replies';
 
 /** Functions of the gateway that the caller server calls. */
@@ -16,6 +17,10 @@
   isStopping(): boolean;
   /** Serves a request that has been read completely. */
   serve(request: CallerRequest): Promise<CallerReply>;
+  /** Returns how many upstreams may run a request that another gateway has passed on. */
+  relayedMaxRuns?(req: IncomingMessage): number | undefined;
+  /** Sets headers of this gateway's own on a response before the reply is written. */
+  setHeaders?(res: ServerResponse, reply: CallerReply): void;
 }
 
 /** Limits in force until a configuration is known. */
@@ -80,7 +85,8 @@
     server.keepAliveTimeout = limits.idleTimeout;
   }
 
-  private onRequest(req: IncomingMessage, res: ServerResponse): void {
+  /** Reads and answers a request, which may come from another server than this one's. */
+  onRequest(req: IncomingMessage, res: ServerResponse): void {
     const { clock } = this.context;
     const arrivedAt = clock.now();
     this.lastRequestAt = arrivedAt;
@@ -118,7 +124,10 @@
       const request = this.decode(req, Buffer.concat(chunks), arrivedAt, callerLeft.signal);
       void this.service
         .serve(request)
-        .then((reply) => writeReply(res, reply, this.service.isStopping()))
+        .then((reply) => {
+          this.service.setHeaders?.(res, reply);
+          writeReply(res, reply, this.service.isStopping());
+        })
         .catch((err: unknown) => {
           this.context.telemetry.event('request-broke', {
             request: request.id,
@@ -151,11 +160,16 @@
       host: req.headers.host ?? '',
       rawHeaders: endToEndHeaders(
         req.rawHeaders,
-        new Set([headerConventions.remainingMs, headerConventions.targetUpstream]),
+        new Set([
+          headerConventions.remainingMs,
+          headerConventions.targetUpstream,
+          RELAY_HEADERS.maxRuns,
+        ]),
       ),
       body,
       arrivedAt,
       deadline: arrivedAt + timeout,
+      relayedMaxRuns: this.service.relayedMaxRuns?.(req),
       signal,
     };
   }
--- a/src/gateway/connection-pool.ts
+++ b/src/gateway/connection-pool.ts
@@ -25,14 +25,17 @@
 export const isStaleReset = (result: ExchangeResult): boolean =>
   result.kind === 'failed' && result.why === 'reset' && result.idleFor >= MIN_STALE_IDLE_MS;
 
+/** What connections are made to: one run of an upstream, or of another gateway. */
+export type ConnectionTarget = Pick<GatewayUpstream, 'id' | 'born' | 'endpoint'>;
+
 /** Returns the key of the connections to one run of an upstream (`born`) at one address. */
-const keyOf = ({ id, born, endpoint }: GatewayUpstream): string =>
+const keyOf = ({ id, born, endpoint }: ConnectionTarget): string =>
   `${id} ${born} ${endpoint.address}:${endpoint.port}`;
 
 /**
  * Pools connections to upstreams; a connection to one run of an upstream is never used for another.
  */
-export class ConnectionPool {
+export class ConnectionPool<Target extends ConnectionTarget = GatewayUpstream> {
   /** Idle connections by key, the most recently used last. */
   private readonly idle = new Map<string, UpstreamConnection[]>();
 
@@ -48,11 +51,11 @@
     private readonly idHeader: string,
     private readonly clock: Clock,
     /** Receives the head of every answer on a connection to the upstream. */
-    private readonly onAnswerHead: (upstream: GatewayUpstream, head: AnswerHead) => void,
+    private readonly onAnswerHead: (upstream: Target, head: AnswerHead) => void,
   ) {}
 
   /** Sends a request on an idle connection that is safe to reuse, or else on a new one. */
-  async run(upstream: GatewayUpstream, exchange: PooledExchange): Promise<ExchangeResult> {
+  async run(upstream: Target, exchange: PooledExchange): Promise<ExchangeResult> {
     const now = this.clock.now();
     const key = keyOf(upstream);
     const connection = this.takeIdle(key, exchange.idempotent, now);
@@ -66,7 +69,7 @@
   }
 
   /** Closes the connections of an upstream that has left; those in use at their next answer. */
-  forget(upstream: GatewayUpstream): void {
+  forget(upstream: Target): void {
     const key = keyOf(upstream);
     const idle = this.idle.get(key) ?? [];
     this.idle.delete(key);
@@ -76,11 +79,18 @@
     });
   }
 
+  /** Closes all idle connections; they may have gone silent with the path. */
+  closeIdle(): void {
+    const idle = [...this.idle.values()].flat();
+    this.idle.clear();
+    idle.forEach((connection) => connection.close());
+  }
+
   close(): void {
     this.open.forEach((_key, connection) => connection.close());
   }
 
-  private connect(key: string, upstream: GatewayUpstream): UpstreamConnection {
+  private connect(key: string, upstream: Target): UpstreamConnection {
     this.connectCount += 1;
     const connection = new UpstreamConnection(
       upstream.endpoint,
--- a/src/gateway/datagram.ts
+++ b/src/gateway/datagram.ts
@@ -13,9 +13,10 @@
 
 /**
  * Topics of messages between gateways: `sightings` are observations of upstreams, `crashes` tell of
- * requests that crash them. Builds that don't know a topic drop its datagrams.
+ * requests that crash them, `paths` of hosts that are cut off from them. Builds drop the datagrams
+ * of topics that they don't know.
  */
-export type PeerTopic = 'membership' | 'sightings' | 'beliefs' | 'crashes';
+export type PeerTopic = 'membership' | 'sightings' | 'beliefs' | 'crashes' | 'paths';
 
 /** A datagram; `body` of topic `membership` is a `MembershipMessage`. */
 export interface Datagram {
@@ -33,7 +34,7 @@
 const VERSION_WITHOUT_ERA = 2;
 
 /** Topics by their number in the binary format. */
-const TOPICS: readonly PeerTopic[] = ['membership', 'sightings', 'beliefs', 'crashes'];
+const TOPICS: readonly PeerTopic[] = ['membership', 'sightings', 'beliefs', 'crashes', 'paths'];
 /** First byte of a datagram in JSON, `[`; no binary one begins with it. */
 const JSON_START = 0x5b;
 
--- a/src/gateway/feed-relay.ts
+++ b/src/gateway/feed-relay.ts
@@ -1,4 +1,4 @@
-import http, { type Server, type ServerResponse } from 'node:http';
+import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
 import { FeedHistory } from '../core/gateway';
 import type { Millis, PositionedPage } from '../model';
@@ -12,6 +12,8 @@
 export const FEED_BEAT_INTERVAL_MS: Millis = 500;
 /** Bytes queued for a subscriber above which it is dropped; it then reads elsewhere. */
 const MAX_QUEUED_BYTES = 4 * 2 ** 20;
+/** Maximum size in bytes of the headers of a peer's request, which may be a caller's. */
+const MAX_HEADER_BYTES = 128 * 1024;
 
 const OK = 200;
 const NOT_FOUND = 404;
@@ -37,8 +39,11 @@
     private readonly telemetry: Telemetry,
     /** Whether this gateway reads both feeds at the store and the store answers. */
     private readonly isInContact: () => boolean,
+    /** Handles a request of a peer that is not for the feeds; returns whether it did. */
+    onOtherRequest: (req: IncomingMessage, res: ServerResponse) => boolean,
   ) {
-    this.server = http.createServer((req, res) => {
+    this.server = http.createServer({ maxHeaderSize: MAX_HEADER_BYTES }, (req, res) => {
+      if (onOtherRequest(req, res)) return;
       req.resume();
       this.subscribe(req.url ?? '', res);
     });
--- a/src/gateway/feeds.ts
+++ b/src/gateway/feeds.ts
@@ -1,4 +1,4 @@
-import type { Server } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
 import { feedSourceOf } from '../core/gateway';
 import type { Incarnation, Member, Millis, FeedPage, KeyedRecord, PositionedPage } from '../model';
@@ -48,6 +48,8 @@
   readonly upstreamFeed: Feed<KeyedRecord>;
   onConfig(page: FeedPage<KeyedRecord>): void;
   onUpstreams(page: FeedPage<KeyedRecord>, timing: ReadTiming): void;
+  /** Handles a request of a peer that is not for the feeds; returns whether it did. */
+  onPeerRequest(req: IncomingMessage, res: ServerResponse): boolean;
 }
 
 /**
@@ -73,7 +75,11 @@
     service: FeedsService,
   ) {
     const { telemetry } = context;
-    this.relay = new FeedRelay(telemetry, () => this.isInContact);
+    this.relay = new FeedRelay(
+      telemetry,
+      () => this.isInContact,
+      (req, res) => service.onPeerRequest(req, res),
+    );
     const follow = (
       name: FeedName,
       feed: Feed<KeyedRecord>,
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -11,6 +11,7 @@
 import { DATAGRAM_VERSION, type FeedPositions, type PeerTopic } from './datagram';
 import { EvidenceExchange } from './evidence-exchange';
 import { LimitSharing } from './limit-sharing';
+import { PathExchange } from './path-exchange';
 import { DatagramLink } from './peer-link';
 import type { ServiceScheduler } from './service-scheduler';
 
@@ -63,6 +64,9 @@
   /** Tells the hosts that share the limits which upstreams announce. */
   readonly limitSharing: LimitSharing;
 
+  /** Knows the gateways that have no path to the upstreams. */
+  readonly paths: PathExchange;
+
   /** Knows the requests that crash upstreams. */
   readonly crashes: CrashExchange;
 
@@ -100,6 +104,9 @@
       xoroshiro128plus(randomBytes(SEED_BYTES).readInt32LE(0)),
     );
     this.crashes = new CrashExchange(context, this.link);
+    this.paths = new PathExchange(context, this.incarnation, this.link, () =>
+      this.recomputeOwners(),
+    );
     this.evidence = new EvidenceExchange(context, this.link, {
       otherOwners: (name) => this.otherOwners(name),
       schedulers: () => service.schedulers(),
@@ -149,6 +156,7 @@
     clearInterval(this.tickTimer);
     this.evidence.close();
     this.crashes.close();
+    this.paths.close();
     this.link.close();
   }
 
@@ -225,7 +233,39 @@
   /** Returns the owners in one data centre, which carries an equal part of the group's demand. */
   private ownersOfGroup(dataCentre: DataCentre, { name, demand }: HostGroup): readonly Member[] {
     const demandPerDataCentre = demand / Math.max(1, this.dataCentres.length);
-    return ownersOf(this.members, dataCentre, name, demandPerDataCentre);
+    return ownersOf(this.membersWithPath(), dataCentre, name, demandPerDataCentre);
+  }
+
+  /** Returns the members without those whose path to the upstreams is cut; all if none is left. */
+  private membersWithPath(): readonly Member[] {
+    const withPath = this.members.filter(({ incarnation }) => !this.paths.isCut(incarnation));
+    return withPath.some(({ state }) => state === 'alive') ? withPath : this.members;
+  }
+
+  /**
+   * Returns the gateways that a request of the service may be passed on to, owners of its data
+   * centre first; empty if none has a path to the upstreams.
+   */
+  relayPeersOf(service: ServiceName): readonly Member[] {
+    const { dataCentre, listen } = this.context.settings;
+    const isUsable = ({ address, incarnation, state }: Member): boolean =>
+      address !== listen.callers.address && state === 'alive' && !this.paths.isCut(incarnation);
+    const ranked = [...new Set([...this.shuffled(this.ownersFor(service)), ...this.members])];
+    const near = ranked.filter((member) => member.dataCentre === dataCentre);
+    const owners = new Set(this.ownersFor(service));
+    const order = [
+      ...near.filter((member) => owners.has(member)),
+      ...ranked.filter((member) => owners.has(member) && member.dataCentre !== dataCentre),
+      ...ranked.filter((member) => !owners.has(member)),
+    ];
+    return order.filter(isUsable);
+  }
+
+  private shuffled(members: readonly Member[]): readonly Member[] {
+    return members
+      .map((member) => ({ member, rank: this.context.random() }))
+      .sort((a, b) => a.rank - b.rank)
+      .map(({ member }) => member);
   }
 
   /** Returns the owners of a service without this gateway. */
@@ -253,6 +293,9 @@
         return;
       case 'crashes':
         this.crashes.onMessage(body);
+        return;
+      case 'paths':
+        this.paths.onMessage(body);
     }
   }
 
@@ -266,6 +309,7 @@
         case 'changed':
           this.members = effect.members;
           this.dataCentres = [...new Set(this.members.map(({ dataCentre }) => dataCentre))];
+          this.paths.onMembers(this.members);
           this.recomputeOwners();
           this.crashes.onMembers(this.members);
           this.service.onMembers(this.incarnation, this.members);
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -21,6 +21,8 @@
   readonly arrivedAt: Instant;
   /** When the caller stops waiting for an answer. */
   readonly deadline: Instant;
+  /** How many upstreams may run it, if another gateway has passed it on; else undefined. */
+  readonly relayedMaxRuns?: number | undefined;
   /** Aborted when the connection to the caller closes. */
   readonly signal: AbortSignal;
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,11 +17,13 @@
 import { AnnouncementReader } from './announcements';
 import type { RequestContext } from './attempt';
 import { ProxiedRequest, type GatewayReply } from './proxied-request';
-import { CallerServer } from './caller-server';
+import { CallerServer, type CallerService } from './caller-server';
 import type { GatewayContext } from './context';
 import { Feeds } from './feeds';
 import type { ReadTiming } from './follower';
 import { PathMonitor } from './path-monitor';
+import { PeerRelay } from './peer-relay';
+import { RelayServer } from './relay-server';
 import { Fleet } from './fleet';
 import type { CallerRequest } from './forwarding';
 import { UpstreamRegistry } from './upstream-registry';
@@ -76,6 +78,10 @@
 
   private readonly path: PathMonitor;
 
+  private readonly relay: PeerRelay;
+
+  private readonly relayed: RelayServer;
+
   private readonly servers: readonly {
     readonly server: Server;
     readonly at: 'readiness' | 'directory';
@@ -100,7 +106,7 @@
     const announcements = new AnnouncementReader(context, this.terms);
     this.path = new PathMonitor(context, {
       endpoints: () => this.readyEndpoints(),
-      onChange: () => {},
+      onChange: (isCut) => this.onPathChange(isCut),
     });
     this.pool = new ConnectionPool(headerConventions.requestId, clock, (upstream, head) => {
       this.path.recordContact();
@@ -113,6 +119,7 @@
       onConfig: (page) => this.onConfig(page.items.flatMap(ports.decodeConfig)),
       onUpstreams: (page, timing) =>
         this.onUpstreams({ ...page, items: page.items.flatMap(ports.decodeUpstreams) }, timing),
+      onPeerRequest: (req, res) => this.relayed.onRequest(req, res),
     });
     this.registry = new UpstreamRegistry(context, {
       pool: this.pool,
@@ -126,10 +133,16 @@
       hostGroups: () => this.hostGroups,
       schedulers: () => this.schedulers,
     });
-    this.callers = new CallerServer(context, {
+    const callerService: CallerService = {
       limits: () => this.routes?.config.limits,
       isStopping: () => this.stopping,
       serve: (request) => this.serve(request),
+    };
+    this.callers = new CallerServer(context, callerService);
+    this.relayed = new RelayServer(context, callerService);
+    this.relay = new PeerRelay(context, {
+      peersFor: (service) => this.fleet.relayPeersOf(service),
+      onAnswerHead: (upstream, head) => announcements.read(upstream, head),
     });
     this.servers = [
       {
@@ -151,6 +164,7 @@
       log: new RequestLog(clock, telemetry),
       crashes: this.fleet.crashes,
       path: this.path,
+      relay: this.relay,
       retryBudgetSharers: (service) => this.fleet.retryBudgetSharersOf(service),
       reportObservation: (scheduler, ...sighting) =>
         this.fleet.reportObservation(scheduler.name, ...sighting),
@@ -206,30 +220,36 @@
     this.stopping = true;
     const { clock, telemetry, settings } = this.context;
     const askedAt = clock.now();
-    telemetry.event('stopping', { inFlight: this.callers.inFlight });
+    telemetry.event('stopping', { inFlight: this.inFlight });
     this.fleet.leave();
     const linger = DIRECTORY_TTL_OVERUSE_RATIO * DIRECTORY_TTL_MS;
     const deadline = askedAt + settings.bounds.stopGrace - STOP_MARGIN_MS;
     for (;;) {
       const now = clock.now();
       const isQuiet = now - this.callers.lastRequestAt > linger || now - askedAt > linger;
-      if ((this.callers.inFlight === 0 && isQuiet) || now >= deadline) break;
+      if ((this.inFlight === 0 && isQuiet) || now >= deadline) break;
       await new Promise((resolve) => {
         setTimeout(resolve, STOP_POLL_MS);
       });
     }
     this.fleet.stop();
     telemetry.event('stopped', {
-      inFlight: this.callers.inFlight,
+      inFlight: this.inFlight,
       tookMs: Math.round(clock.now() - askedAt),
     });
     this.close();
   }
 
+  /** Number of requests in flight, of callers and of other gateways. */
+  private get inFlight(): number {
+    return this.callers.inFlight + this.relayed.inFlight;
+  }
+
   private close(): void {
     this.feeds.close();
     this.registry.close();
     this.path.close();
+    this.relay.close();
     [this.callers.server, this.metricsServer, ...this.servers.map(({ server }) => server)].forEach(
       (server) => {
         server.close();
@@ -266,6 +286,14 @@
     return reply;
   }
 
+  /** Takes in that this gateway's own path to the upstreams is cut, or good again. */
+  private onPathChange(isCut: boolean): void {
+    this.fleet.paths.setOwn(isCut);
+    if (!isCut) return;
+    this.pool.closeIdle();
+    this.schedulers.forEach((scheduler) => scheduler.abandonQueue());
+  }
+
   /** Returns the endpoints of ready upstreams, those of one service in each list. */
   private readyEndpoints(): readonly (readonly Endpoint[])[] {
     return [...this.schedulers.values()].map(({ balancer }) =>
--- /dev/null
+++ b/src/gateway/peer-relay.ts
@@ -0,0 +1,162 @@
+import type { Instant, Member, Millis, ServiceName } from '../model';
+import { MILLIS_PER_SECOND } from '../model';
+
+import { headerOf, type AnswerHead } from './answer-parser';
+import { ConnectionPool, type ConnectionTarget } from './connection-pool';
+import type { GatewayContext } from './context';
+import { encodeRequest, type CallerRequest } from './forwarding';
+import type { GatewayReply } from './proxied-request';
+import { decodeAnsweringUpstream, RELAY_HEADERS, type AnsweringUpstream } from './relay-headers';
+import type { ExchangeResult } from './upstream-connection';
+
+/** Number of peers to which one request may be offered. */
+const MAX_OFFER_COUNT = 3;
+/** Retry-After in milliseconds while the path is cut, which is checked more often. */
+export const PATH_CUT_RETRY_AFTER_MS: Millis = 250;
+/** The target header of a relayed request, which the peer replaces. */
+const NO_TARGET = 'relay';
+const REQUEST_TIMEOUTS: ReadonlySet<number> = new Set([504]);
+/** Reasons for which a peer refuses a request that another peer may take. */
+const PEER_REASONS: ReadonlySet<string> = new Set(['path-cut', 'no-config']);
+
+const withoutRelayHeaders = (head: AnswerHead): AnswerHead => {
+  const names: ReadonlySet<string> = new Set(Object.values(RELAY_HEADERS));
+  const rawHeaders = head.rawHeaders.filter(
+    (_, i) => !names.has(head.rawHeaders[i - (i % 2)]?.toLowerCase() ?? ''),
+  );
+  return { ...head, rawHeaders };
+};
+
+/** A request to be relayed, with what the peer may do. */
+export interface RelayedRequest {
+  readonly request: CallerRequest;
+  readonly service: ServiceName;
+  readonly idempotent: boolean;
+  /** How many upstreams may still run it. */
+  readonly maxRuns: number;
+  readonly deadline: Instant;
+  readonly signal: AbortSignal;
+}
+
+/** What has become of a request that was to be relayed. */
+export type RelayResult =
+  | { readonly kind: 'replied'; readonly reply: GatewayReply }
+  /** It was sent to a peer and may have run; there is no answer. */
+  | { readonly kind: 'unknown'; readonly why: string }
+  /** No other gateway is known. */
+  | { readonly kind: 'alone' };
+
+/** Functions that the relay calls. */
+export interface PeerRelayPorts {
+  /** Returns the peers to offer a request of a service to, the best first. */
+  peersFor(service: ServiceName): readonly Member[];
+  /** Receives the head of an answer that an upstream gave through a peer. */
+  onAnswerHead(upstream: AnsweringUpstream, head: AnswerHead): void;
+}
+
+/** How a peer replied: its own reply, or `declined` if it has not run the request and never will. */
+type Offer = Exclude<RelayResult, { readonly kind: 'alone' }> | { readonly kind: 'declined' };
+
+/** Passes requests on to other gateways while this one has no path to the upstreams. */
+export class PeerRelay {
+  private readonly pool: ConnectionPool<ConnectionTarget>;
+
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly ports: PeerRelayPorts,
+  ) {
+    this.pool = new ConnectionPool(context.headerConventions.requestId, context.clock, () => {});
+  }
+
+  /** Offers the request to one peer after the other until one has taken it. */
+  async run(relayed: RelayedRequest): Promise<RelayResult> {
+    const { request, service } = relayed;
+    const peers = this.ports.peersFor(service).slice(0, MAX_OFFER_COUNT);
+    if (peers.length === 0) return { kind: 'alone' };
+    for (const peer of peers) {
+      const offer = await this.offer(peer, relayed);
+      this.context.telemetry.count('relayed_requests', { service, result: offer.kind });
+      this.context.telemetry.event('request-relayed', {
+        request: request.id,
+        service,
+        peer: peer.address,
+        result: offer.kind,
+        ...(offer.kind === 'replied' ? { outcome: offer.reply.kind } : {}),
+        ...('why' in offer ? { why: offer.why } : {}),
+      });
+      if (offer.kind === 'replied') return offer;
+      if (offer.kind === 'unknown' && !relayed.idempotent) return offer;
+      if (relayed.signal.aborted) return { kind: 'replied', reply: { kind: 'nobody' } };
+    }
+    const reply = {
+      kind: 'refused',
+      why: 'path-cut',
+      retryAfter: PATH_CUT_RETRY_AFTER_MS,
+    } as const;
+    return { kind: 'replied', reply };
+  }
+
+  close(): void {
+    this.pool.close();
+  }
+
+  private async offer(peer: Member, relayed: RelayedRequest): Promise<Offer> {
+    const { request, deadline, signal, idempotent, maxRuns } = relayed;
+    const { clock, headerConventions } = this.context;
+    const rawHeaders = [...request.rawHeaders, RELAY_HEADERS.maxRuns, String(maxRuns)];
+    const target = {
+      id: peer.incarnation,
+      born: 0,
+      endpoint: { address: peer.address, port: peer.peerPort },
+    };
+    const result = await this.pool.run(target, {
+      requestId: request.id,
+      method: request.method,
+      bytes: () =>
+        encodeRequest(
+          { ...request, rawHeaders },
+          headerConventions,
+          NO_TARGET,
+          deadline - clock.now(),
+        ),
+      maySend: () => true,
+      deadline,
+      signal,
+      idempotent,
+    });
+    return this.offerOf(result);
+  }
+
+  private offerOf(result: ExchangeResult): Offer {
+    if (result.kind === 'failed') {
+      if (result.why === 'cancelled') return { kind: 'replied', reply: { kind: 'nobody' } };
+      return result.sent ? { kind: 'unknown', why: result.why } : { kind: 'declined' };
+    }
+    const { head, body } = result;
+    const [outcome, why = ''] = (headerOf(head.rawHeaders, RELAY_HEADERS.outcome) ?? '').split(' ');
+    switch (outcome) {
+      case 'answer': {
+        const upstream = decodeAnsweringUpstream(headerOf(head.rawHeaders, RELAY_HEADERS.upstream));
+        if (upstream) this.ports.onAnswerHead(upstream, head);
+        return {
+          kind: 'replied',
+          reply: { kind: 'answer', head: withoutRelayHeaders(head), body, upstream },
+        };
+      }
+      case 'refused': {
+        if (PEER_REASONS.has(why)) return { kind: 'declined' };
+        const seconds = Number(headerOf(head.rawHeaders, 'retry-after'));
+        const retryAfter = seconds > 0 ? seconds * MILLIS_PER_SECOND : PATH_CUT_RETRY_AFTER_MS;
+        return { kind: 'replied', reply: { kind: 'refused', why, retryAfter } };
+      }
+      case 'lost': {
+        const isTimeout = REQUEST_TIMEOUTS.has(head.status);
+        return { kind: 'replied', reply: { kind: 'lost', why, isTimeout } };
+      }
+      case undefined:
+      default:
+        // A build that relays nothing, or a peer without the route: the request has not run.
+        return { kind: 'declined' };
+    }
+  }
+}
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -7,13 +7,20 @@
 import type { AnswerHead } from './answer-parser';
 import { runAttempt, type RequestContext } from './attempt';
 import { NOT_RUN_STATUSES, UNFRAMED, type CallerRequest } from './forwarding';
+import { PATH_CUT_RETRY_AFTER_MS, type RelayedRequest } from './peer-relay';
+import type { AnsweringUpstream } from './relay-headers';
 import type { ServiceScheduler } from './service-scheduler';
 import type { AnswerBody } from './upstream-connection';
 
 /** How the gateway replies to a caller. `kind` is the field `outcome` of log lines and metrics. */
 export type GatewayReply =
   /** The answer of an upstream. */
-  | { readonly kind: 'answer'; readonly head: AnswerHead; readonly body: AnswerBody }
+  | {
+      readonly kind: 'answer';
+      readonly head: AnswerHead;
+      readonly body: AnswerBody;
+      readonly upstream: AnsweringUpstream | undefined;
+    }
   /** The gateway refuses the request, which has not run; `retryAfter` goes out as Retry-After. */
   | { readonly kind: 'refused'; readonly why: string; readonly retryAfter: Millis }
   /** There is no answer, and the request has run or may have run. */
@@ -67,6 +74,9 @@
   /** The earlier of the caller's deadline and the end of the route's timeout. */
   private readonly deadline: Instant;
 
+  /** How many upstreams may run the request. */
+  private readonly maxRuns: number;
+
   /** Ids of the upstreams that have been attempted. */
   private readonly tried = new Set<string>();
 
@@ -93,11 +103,14 @@
   ) {
     this.idempotent = isIdempotent(route.kind);
     this.deadline = Math.min(request.deadline, request.arrivedAt + route.timeout);
+    this.maxRuns = Math.min(route.maxAttempts, request.relayedMaxRuns ?? route.maxAttempts);
   }
 
   /** Makes attempts until there is a reply; may be called once. */
   run(): Promise<GatewayReply> {
-    this.scheduler.retryBudget.recordRequest(this.context.clock.now());
+    // A request that is relayed counts at the gateway that sends it to an upstream.
+    if (!this.context.path.isCut)
+      this.scheduler.retryBudget.recordRequest(this.context.clock.now());
     return this.attemptUntilReply();
   }
 
@@ -105,12 +118,17 @@
     for (;;) {
       const held = this.replyIfHeld();
       if (held) return held;
+      const relayed = await this.relayIfCut();
+      if (relayed) return relayed;
       const placed = await this.scheduler.place(this.placementRequest(), this.request.id);
       switch (placed.kind) {
         case 'cancelled':
           return { kind: 'nobody' };
-        case 'none':
+        case 'none': {
+          const late = await this.relayIfCut();
+          if (late) return late;
           return this.finalReply('no-upstream', NO_UPSTREAM_RETRY_AFTER_MS);
+        }
         case 'refused':
           return this.finalReply(placed.why, placed.retryAfter);
         case 'send': {
@@ -196,6 +214,53 @@
     }
   }
 
+  /**
+   * Passes the request on to another gateway if this one's path to the upstreams is cut; undefined
+   * if it is to be sent from here. It is passed on once, and a request that was passed on to here is
+   * refused.
+   */
+  private async relayIfCut(): Promise<GatewayReply | undefined> {
+    const { path, relay } = this.context;
+    if (!path.isCut) return undefined;
+    if (this.request.relayedMaxRuns !== undefined) {
+      return this.finalReply('path-cut', PATH_CUT_RETRY_AFTER_MS);
+    }
+    if (this.runs >= this.maxRuns) return undefined;
+    const result = await relay.run(this.relayedRequest(this.request.signal));
+    switch (result.kind) {
+      case 'replied':
+        return this.runs > 0 && result.reply.kind === 'refused'
+          ? this.finalReply(result.reply.why, result.reply.retryAfter)
+          : result.reply;
+      case 'unknown':
+        this.runs += 1;
+        return this.finalReply(result.why, PATH_CUT_RETRY_AFTER_MS);
+      case 'alone':
+        return undefined;
+    }
+  }
+
+  private relayedRequest(signal: AbortSignal): RelayedRequest {
+    const { request, idempotent, deadline } = this;
+    const maxRuns = this.maxRuns - this.runs;
+    return { request, service: this.scheduler.name, idempotent, maxRuns, deadline, signal };
+  }
+
+  /** Starts a hedge through another gateway, beside an attempt on a path that is cut. */
+  private startRelayedHedge(purpose: RetryPurpose): RunningAttempt | undefined {
+    const { relay, clock, retryBudgetSharers } = this.context;
+    const { retryBudget, name } = this.scheduler;
+    if (this.request.relayedMaxRuns !== undefined) return undefined;
+    if (!retryBudget.take(retryBudgetSharers(name), clock.now(), purpose)) return undefined;
+    return this.start(async (signal) => {
+      const result = await relay.run(this.relayedRequest(signal));
+      if (result.kind === 'replied' && result.reply.kind === 'answer') {
+        return { outcome: { kind: 'served' }, reply: result.reply };
+      }
+      return { outcome: { kind: 'unknown', why: 'path-cut' } };
+    });
+  }
+
   /** Whether the request may be sent a second time as far as crashes of upstreams are concerned. */
   private mayCrashAnother(): boolean {
     return this.context.crashes.standingOf(this.request).kind === 'clear';
@@ -203,7 +268,7 @@
 
   /** Whether a hedge beside the running attempt stays within the attempts that the route allows. */
   private mayHedge(): boolean {
-    return this.idempotent && this.runs + 2 <= this.route.maxAttempts;
+    return this.idempotent && this.runs + 2 <= this.maxRuns;
   }
 
   /**
@@ -213,6 +278,7 @@
   private startHedge(provenOnly: boolean, purpose: RetryPurpose): RunningAttempt | undefined {
     const { scheduler, context } = this;
     if (!this.mayCrashAnother()) return undefined;
+    if (context.path.isCut) return this.startRelayedHedge(purpose);
     const placed = scheduler.placeNow(
       this.placementRequest(),
       this.request.id,
@@ -227,16 +293,19 @@
     return placed?.kind === 'send' ? this.startAttempt(placed.stats, 'hedge') : undefined;
   }
 
-  /** Starts an attempt that is cancelled when the caller leaves. */
+  /** Starts an attempt at an upstream. */
   private startAttempt(stats: UpstreamStats, why: string): RunningAttempt {
+    return this.start((signal) => this.attempt(stats, why, signal));
+  }
+
+  /** Starts what may be cancelled by itself, and is when the caller leaves. */
+  private start(run: (signal: AbortSignal) => Promise<AttemptResult>): RunningAttempt {
     const controller = new AbortController();
     const cancel = (): void => controller.abort();
     const { signal } = this.request;
     if (signal.aborted) cancel();
     signal.addEventListener('abort', cancel, { once: true });
-    const ended = this.attempt(stats, why, controller.signal).finally(() =>
-      signal.removeEventListener('abort', cancel),
-    );
+    const ended = run(controller.signal).finally(() => signal.removeEventListener('abort', cancel));
     return { ended, cancel };
   }
 
@@ -247,7 +316,7 @@
     const step = nextStep(outcome, {
       idempotent: this.idempotent && this.mayCrashAnother(),
       runs: this.runs,
-      maxRuns: this.route.maxAttempts,
+      maxRuns: this.maxRuns,
       hasTime:
         this.deadline - now >
         MIN_ATTEMPT_LATENCY_RATIO * this.scheduler.balancer.meanLatency(this.route.name),
@@ -276,7 +345,7 @@
     const inObjective =
       arrivedAt + START_BY_OBJECTIVE_RATIO * this.route.latencyObjective - meanLatency;
     return {
-      retryable: this.idempotent && this.runs + 1 < this.route.maxAttempts,
+      retryable: this.idempotent && this.runs + 1 < this.maxRuns,
       tried: this.tried,
       meanBytes: this.scheduler.balancer.meanBytes(this.route.name),
       meanLatency,
@@ -316,7 +385,8 @@
     });
     if (outcome.kind === 'failed' || outcome.kind === 'unknown') this.runs += 1;
     if (result.kind !== 'answered') return { outcome };
-    const reply = { kind: 'answer', head: result.head, body: result.body } as const;
+    const { head, body } = result;
+    const reply = { kind: 'answer', head, body, upstream: stats.upstream } as const;
     if (outcome.kind === 'served') return { outcome, reply };
     if (outcome.kind === 'failed' && !NOT_RUN_STATUSES.has(result.head.status)) {
       this.fallback ??= reply;
--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/service-scheduler.ts
@@ -88,6 +88,11 @@
     this.settle(this.ports.lastResort());
   }
 
+  /** Ends the waiting without an upstream. */
+  abandon(): void {
+    this.settle({ kind: 'none' });
+  }
+
   private readonly onAbort = (): void => this.settle({ kind: 'cancelled' });
 
   private settle(placed: PlacementResult): void {
@@ -177,6 +182,11 @@
     });
   }
 
+  /** Ends the waiting of all requests with `none`, as this node has no path to the upstreams. */
+  abandonQueue(): void {
+    this.queue.all().forEach((queued) => queued.abandon());
+  }
+
   /** Adds or updates an upstream. */
   put(upstream: GatewayUpstream): void {
     this.balancer.put(upstream, this.context.clock.now());
--- a/test/gateway/feeds.test.ts
+++ b/test/gateway/feeds.test.ts
@@ -55,6 +55,7 @@
       {
         configFeed: configFeed(client),
         upstreamFeed: upstreamFeed(client),
+        onPeerRequest: () => false,
         onConfig: () => {},
         onUpstreams: ({ items }) => keys.push(...items.map(({ key }) => key)),
       },
@@ -163,7 +164,11 @@
 
 describe('the server of the feeds', () => {
   it('answers 404 to what is no subscription', async () => {
-    const relay = new FeedRelay(recordingTelemetry(), () => true);
+    const relay = new FeedRelay(
+      recordingTelemetry(),
+      () => true,
+      () => false,
+    );
     const port = await freePorts(1);
     await listen(relay.server, '127.0.0.1', port);
     for (const target of ['//', '/feeds/2', '/feeds/2?config=x&upstreams=1', '/feeds/1?config=1']) {
