Bound what an upstream may send beside the body of an answer

Cause: only heads and the size lines of chunks had a limit. Interim answers, trailers, chunk extensions and answers to other requests were read, and single trailers kept, as long as they came.

Heads, bodies to callers that read slowly or leave, and bytes after an answer were bounded already.

Change: in an exchange at most 128 KiB of framing, more only in proportion to the body, and 2 MiB of answers to other requests; beyond it the exchange fails as malformed, which closes the connection and lowers the upstream.

--- a/src/gateway/upstream-connection.ts
+++ b/src/gateway/upstream-connection.ts
@@ -53,6 +53,15 @@
  * retried if the answer breaks off.
  */
 const MAX_HELD_ANSWER_BYTES = 2 * 2 ** 20;
+/**
+ * Maximum number of bytes around the body of an answer: heads, interim answers, chunk framing and
+ * trailers.
+ */
+const MAX_FRAMING_BYTES = 128 * 1024;
+/** Number of bytes of framing that each byte of the body may add to that. */
+const MAX_FRAMING_RATIO = 16;
+/** Maximum number of bytes of answers to other requests that are skipped in an exchange. */
+const MAX_SKIPPED_BYTES = 2 * 2 ** 20;
 /** Idle time-out in milliseconds of a connection if the upstream sends no Keep-Alive timeout. */
 const DEFAULT_IDLE_MS: Millis = 4000;
 /** Time in milliseconds by which a connection is given up before the upstream would close it. */
@@ -106,6 +115,9 @@
 
   private running: RunningExchange | undefined;
 
+  /** Numbers of bytes received in the current exchange: all, the answer's body, and skipped ones. */
+  private received = { all: 0, body: 0, skipped: 0 };
+
   constructor(
     endpoint: Endpoint,
     private readonly idHeader: string,
@@ -139,6 +151,7 @@
    * idle, and a new one must be connected by `connectBy`.
    */
   run(exchange: Exchange, connectBy: Instant): Promise<ExchangeResult> {
+    this.received = { all: 0, body: 0, skipped: 0 };
     this.idleFor = this.connected ? this.clock.now() - this.idleSince : 0;
     return new Promise((resolve) => {
       const giveUp = (why: 'timeout' | 'cancelled' | 'connect-timeout'): void => {
@@ -199,11 +212,19 @@
       this.close();
       return;
     }
-    if (this.parser.parse(chunk)) return;
+    this.received.all += chunk.length;
+    if (this.parser.parse(chunk) && !this.isExcessive) return;
     this.fail('malformed');
     this.close();
   }
 
+  /** Whether the upstream has sent more than an answer may have beside its body. */
+  private get isExcessive(): boolean {
+    const { all, body, skipped } = this.received;
+    const framing = all - body - skipped;
+    return framing > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * body || skipped > MAX_SKIPPED_BYTES;
+  }
+
   /** Handles the end of the bytes from the upstream. */
   private onSocketEnd(): void {
     const isWhole = this.parser.finish();
@@ -233,7 +254,9 @@
 
   private onBody(chunk: Buffer): void {
     const { running } = this;
+    if (this.skippingAnswer) this.received.skipped += chunk.length;
     if (this.skippingAnswer || !running?.head) return;
+    this.received.body += chunk.length;
     if (running.stream) {
       if (!running.stream.write(chunk)) this.socket.pause();
       return;
