Read the configuration without waiting after each pause

What callers saw: in a test of ours a configuration written after two copies of the store was not in force after 10 s; the bound is 2 s.

Cause: the store came back from a copy while the follower paused between reads. No read was broken off, and the next one waited at an offset that existed again in the new era, up to 28 s, without an answer that told the era.

Change: the feed of the configuration, whose items are rare, reads once without waiting after each pause, after reads that failed and when another gateway no longer passes the pages on; any feed does so after reads that failed. The feed of upstreams learns of an era from its next item or from the other feed.

--- a/src/gateway/feeds.ts
+++ b/src/gateway/feeds.ts
@@ -90,6 +90,7 @@
         feed,
         clock: context.clock,
         telemetry,
+        isQuiet: name === 'config',
         longPoll: () => this.longPoll(),
         batchPause: () => this.batchPause(),
         peerGrace: () => this.peerGrace(),
--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -59,6 +59,8 @@
   readonly telemetry: Telemetry;
   /** Returns the time for which the next read waits at the store for new items. */
   longPoll(): Millis;
+  /** Whether new items are rare, so that no later one soon tells that the store's era has changed. */
+  readonly isQuiet: boolean;
   /** Returns the pause after new items, which batches several changes into one read. */
   batchPause(): Millis;
   /**
@@ -122,17 +124,25 @@
 
   /** Reads the feed until the follower is closed. */
   async follow(): Promise<void> {
+    // The store may have come back from a copy while no read waited. A read that waits at an offset
+    // of the copy gets no answer that tells it, so that the next one doesn't wait.
+    let mayMissEra = false;
     while (!this.closed) {
       if (this.isRelayed) {
         await new Promise<void>((resolve) => {
           this.resume = resolve;
         });
         this.resume = undefined;
+        mayMissEra = this.options.isQuiet;
       }
       const before = this.furthestPosition;
-      await this.read(this.options.longPoll());
+      await this.read(this.failures > 0 || mayMissEra ? 0 : this.options.longPoll());
+      mayMissEra = false;
       if (this.failures > 0) await this.pause(retryDelay(this.failures));
-      else if (this.furthestPosition > before) await this.pause(this.options.batchPause());
+      else if (this.furthestPosition > before) {
+        await this.pause(this.options.batchPause());
+        mayMissEra = this.options.isQuiet;
+      }
     }
   }
 
--- a/test/gateway/follower.test.ts
+++ b/test/gateway/follower.test.ts
@@ -68,6 +68,7 @@
       clock,
       telemetry,
       longPoll: () => 15_000,
+      isQuiet: false,
       batchPause: () => batchPause,
       peerGrace: () => 300,
       onEra: () => {},
--- a/test/gateway/store-era-model.test.ts
+++ b/test/gateway/store-era-model.test.ts
@@ -99,6 +99,7 @@
       clock: { now: () => performance.now(), wall: () => 0 },
       telemetry: recordingTelemetry(),
       longPoll: () => LONG_POLL_MS,
+      isQuiet: false,
       batchPause: () => 1,
       peerGrace: () => 5,
       onEra: () => {},
