Split hedging, replies and the set of schedulers from their users

Hedging is a function of its own, the type of replies has its own file, and the schedulers of all services are a class.

--- /dev/null
+++ b/src/gateway/gateway-reply.ts
@@ -0,0 +1,21 @@
+import type { Millis } from '../model';
+
+import type { AnswerHead } from './answer-parser';
+import type { AnsweringUpstream } from './relay-headers';
+import type { AnswerBody } from './upstream-connection';
+
+/** How the gateway replies to a caller. `kind` is the field `outcome` of log lines and metrics. */
+export type GatewayReply =
+  /** The answer of an upstream. */
+  | {
+      readonly kind: 'answer';
+      readonly head: AnswerHead;
+      readonly body: AnswerBody;
+      readonly upstream: AnsweringUpstream | undefined;
+    }
+  /** The gateway refuses the request, which has not run; `retryAfter` goes out as Retry-After. */
+  | { readonly kind: 'refused'; readonly why: string; readonly retryAfter: Millis }
+  /** There is no answer, and the request has run or may have run. */
+  | { readonly kind: 'lost'; readonly why: string; readonly isTimeout: boolean }
+  /** The caller has closed its connection; nothing is sent. */
+  | { readonly kind: 'nobody' };
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,7 +5,6 @@
 import { HostGroups, HostRoutes, WeightedRoundRobin, type UpstreamChange } from '../core/gateway';
 import {
   MILLIS_PER_SECOND,
-  type Endpoint,
   type GatewaySettings,
   type Millis,
   type ServiceName,
@@ -16,7 +15,8 @@
 
 import { AnnouncementReader } from './announcements';
 import type { RequestContext } from './attempt';
-import { ProxiedRequest, type GatewayReply } from './proxied-request';
+import type { GatewayReply } from './gateway-reply';
+import { ProxiedRequest } from './proxied-request';
 import { CallerServer, type CallerService } from './caller-server';
 import type { GatewayContext } from './context';
 import { Feeds } from './feeds';
@@ -28,7 +28,7 @@
 import type { CallerRequest } from './forwarding';
 import { UpstreamRegistry } from './upstream-registry';
 import { RequestLog } from './request-log';
-import { ServiceScheduler } from './service-scheduler';
+import { ServiceSchedulers } from './service-schedulers';
 import { createDirectoryServer, createMetricsServer, createReadinessServer } from './small-servers';
 import { ConnectionPool } from './connection-pool';
 
@@ -60,7 +60,7 @@
  * forwards each request by its route.
  */
 export class Gateway {
-  private readonly schedulers = new Map<ServiceName, ServiceScheduler>();
+  private readonly schedulers: ServiceSchedulers;
 
   private readonly registry: UpstreamRegistry;
 
@@ -104,8 +104,13 @@
   ) {
     const { settings, clock, telemetry, headerConventions } = context;
     const announcements = new AnnouncementReader(context, this.terms);
+    this.schedulers = new ServiceSchedulers(context, {
+      isOwnerOf: (service) => this.fleet.isOwnerOf(service),
+      termsOf: (upstream) => this.terms.of(upstream),
+      sendingHosts: (service, now) => this.fleet.limitSharing.hostsOf(service, now),
+    });
     this.path = new PathMonitor(context, {
-      endpoints: () => this.readyEndpoints(),
+      endpoints: () => this.schedulers.readyEndpoints(),
       onChange: (isCut) => this.onPathChange(isCut),
     });
     this.pool = new ConnectionPool(headerConventions.requestId, clock, (upstream, head) => {
@@ -123,15 +128,15 @@
     });
     this.registry = new UpstreamRegistry(context, {
       pool: this.pool,
-      schedulers: () => this.schedulers,
-      scheduler: (service) => this.scheduler(service),
+      schedulers: () => this.schedulers.byService,
+      scheduler: (service) => this.schedulers.of(service),
     });
     this.fleet = new Fleet(context, {
       feedPositions: () => this.feeds.positions,
       onPeerPositions: (positions) => this.feeds.onPeerPositions(positions),
       onMembers: (self, members) => this.feeds.onMembers(self, members),
       hostGroups: () => this.hostGroups,
-      schedulers: () => this.schedulers,
+      schedulers: () => this.schedulers.byService,
     });
     const callerService: CallerService = {
       limits: () => this.routes?.config.limits,
@@ -271,7 +276,7 @@
     if (!routes) return { kind: 'refused', why: 'no-config', retryAfter: NO_CONFIG_RETRY_AFTER_MS };
     const route = routes.find(request.host, request.target);
     if (!route) return { kind: 'no-route' };
-    const scheduler = this.scheduler(this.roundRobin.next(route));
+    const scheduler = this.schedulers.of(this.roundRobin.next(route));
     const proxiedRequest = new ProxiedRequest(this.requestContext, request, route, scheduler);
     const reply = await proxiedRequest.run();
     this.requestContext.log.logEnded({
@@ -291,34 +296,7 @@
     this.fleet.paths.setOwn(isCut);
     if (!isCut) return;
     this.pool.closeIdle();
-    this.schedulers.forEach((scheduler) => scheduler.abandonQueue());
-  }
-
-  /** Returns the endpoints of ready upstreams, those of one service in each list. */
-  private readyEndpoints(): readonly (readonly Endpoint[])[] {
-    return [...this.schedulers.values()].map(({ balancer }) =>
-      balancer
-        .all()
-        .filter(({ upstream }) => upstream.state === 'ready')
-        .map(({ upstream }) => upstream.endpoint),
-    );
-  }
-
-  /** Returns the scheduler of a service, created if it does not exist. */
-  private scheduler(service: ServiceName): ServiceScheduler {
-    const known = this.schedulers.get(service);
-    if (known) return known;
-    const scheduler = new ServiceScheduler(
-      service,
-      this.context,
-      () => this.fleet.isOwnerOf(service),
-      {
-        termsOf: (upstream) => this.terms.of(upstream),
-        sendingHosts: (now) => this.fleet.limitSharing.hostsOf(service, now),
-      },
-    );
-    this.schedulers.set(service, scheduler);
-    return scheduler;
+    this.schedulers.abandonQueues();
   }
 
   /** Puts a configuration in force if its version is higher than that of the current one. */
@@ -350,7 +328,7 @@
   private recomputeHostGroups(): void {
     if (!this.routes) return;
     const slotsOf = (service: ServiceName): number =>
-      this.schedulers.get(service)?.balancer.totalSlots ?? 0;
+      this.schedulers.byService.get(service)?.balancer.totalSlots ?? 0;
     this.hostGroups = new HostGroups(this.routes.config, slotsOf);
     this.fleet.recomputeOwners();
   }
--- a/src/gateway/peer-relay.ts
+++ b/src/gateway/peer-relay.ts
@@ -5,7 +5,7 @@
 import { ConnectionPool, type ConnectionTarget } from './connection-pool';
 import type { GatewayContext } from './context';
 import { encodeRequest, type CallerRequest } from './forwarding';
-import type { GatewayReply } from './proxied-request';
+import type { GatewayReply } from './gateway-reply';
 import { decodeAnsweringUpstream, RELAY_HEADERS, type AnsweringUpstream } from './relay-headers';
 import type { ExchangeResult } from './upstream-connection';
 
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -1,44 +1,13 @@
-import { setTimeout as sleep } from 'node:timers/promises';
-
-import { nextStep, purposeOfHedge, type AttemptOutcome, type RetryPurpose } from '../core/gateway';
+import { nextStep, type AttemptOutcome, type RetryPurpose } from '../core/gateway';
 import type { UpstreamStats } from '../core/placement';
 import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../model';
 
-import type { AnswerHead } from './answer-parser';
 import { runAttempt, type RequestContext } from './attempt';
 import { NOT_RUN_STATUSES, UNFRAMED, type CallerRequest } from './forwarding';
+import type { GatewayReply } from './gateway-reply';
+import { endWithHedge, type AttemptResult, type RunningAttempt } from './hedging';
 import { PATH_CUT_RETRY_AFTER_MS, type RelayedRequest } from './peer-relay';
-import type { AnsweringUpstream } from './relay-headers';
 import type { ServiceScheduler } from './service-scheduler';
-import type { AnswerBody } from './upstream-connection';
-
-/** How the gateway replies to a caller. `kind` is the field `outcome` of log lines and metrics. */
-export type GatewayReply =
-  /** The answer of an upstream. */
-  | {
-      readonly kind: 'answer';
-      readonly head: AnswerHead;
-      readonly body: AnswerBody;
-      readonly upstream: AnsweringUpstream | undefined;
-    }
-  /** The gateway refuses the request, which has not run; `retryAfter` goes out as Retry-After. */
-  | { readonly kind: 'refused'; readonly why: string; readonly retryAfter: Millis }
-  /** There is no answer, and the request has run or may have run. */
-  | { readonly kind: 'lost'; readonly why: string; readonly isTimeout: boolean }
-  /** The caller has closed its connection; nothing is sent. */
-  | { readonly kind: 'nobody' };
-
-/** Outcome of an attempt, and the reply to pass on if the attempt was successful. */
-interface AttemptResult {
-  readonly outcome: AttemptOutcome;
-  readonly reply?: GatewayReply;
-}
-
-/** An attempt in progress. */
-interface RunningAttempt {
-  readonly ended: Promise<AttemptResult>;
-  readonly cancel: () => void;
-}
 
 /** Minimum time left for another attempt, as a ratio of the mean latency of the route. */
 const MIN_ATTEMPT_LATENCY_RATIO = 0.6;
@@ -49,10 +18,6 @@
 const START_BY_OBJECTIVE_RATIO = 0.95;
 /** Time for which a request may wait in any case, as a ratio of the latency objective. */
 const MIN_WAIT_OBJECTIVE_RATIO = 0.125;
-/** A hedge starts when an attempt has taken this multiple of the mean latency of the route. */
-const HEDGE_LATENCY_RATIO = 2.5;
-/** Time until another try to start a hedge, as a multiple of the mean latency of the route. */
-const HEDGE_RETRY_LATENCY_RATIO = 1;
 /**
  * Retry-After in milliseconds where no upstream is available; the store is read about once a
  * second.
@@ -62,11 +27,6 @@
 /** Largest Retry-After in milliseconds of a request that crashes upstreams. */
 const MAX_HELD_RETRY_AFTER_MS: Millis = 300_000;
 
-/** Destroys the body stream of an answer that nobody reads, which frees its connection. */
-const discardReply = ({ reply }: AttemptResult): void => {
-  if (reply?.kind === 'answer' && reply.body.kind === 'stream') reply.body.stream.destroy();
-};
-
 /** Carries one caller's request through attempts at upstreams to a reply. */
 export class ProxiedRequest {
   private readonly idempotent: boolean;
@@ -141,56 +101,15 @@
     }
   }
 
-  /**
-   * Makes an attempt, and a second one (a hedge) at another upstream if the first takes unusually
-   * long; the first good answer wins. This covers upstreams that hang or have become slow before
-   * any gateway has detected it.
-   */
-  private async attemptWithHedge(stats: UpstreamStats, why: string): Promise<AttemptResult> {
+  /** Makes an attempt, with a hedge beside it if the request may be sent twice. */
+  private attemptWithHedge(stats: UpstreamStats, why: string): Promise<AttemptResult> {
     const first = this.startAttempt(stats, why);
     if (!this.mayHedge()) return first.ended;
-    const second = await this.startHedgeWhenSlow(first);
-    if (!second) return first.ended;
-    const winner = await Promise.race(
-      [first, second].map(async (attempt) => ({
-        attempt,
-        end: await attempt.ended,
-      })),
-    );
-    const other = winner.attempt === first ? second : first;
-    if (!winner.end.reply) return other.ended;
-    other.cancel();
-    void other.ended.then(discardReply);
-    return winner.end;
-  }
-
-  /**
-   * Starts a hedge as soon as the attempt is slow and a hedge can be started; undefined if the
-   * attempt ends before that. Load pattern: an upstream crashes without closing its connections
-   * while no proven upstream is free or the retry budget is spent, so that a single try at a hedge
-   * would leave the request waiting until its deadline. Later tries accept any upstream.
-   */
-  private async startHedgeWhenSlow(first: RunningAttempt): Promise<RunningAttempt | undefined> {
-    const { balancer } = this.scheduler;
-    const hasEnded = first.ended.then(() => true);
-    let delay = HEDGE_LATENCY_RATIO * balancer.meanLatency(this.route.name);
-    const startedAt = this.context.clock.now();
-    let isFirstTry = true;
-    for (;;) {
-      const timer = new AbortController();
-      const isOver = await Promise.race([
-        hasEnded,
-        sleep(delay, false, { signal: timer.signal }).catch(() => true),
-      ]);
-      timer.abort();
-      if (isOver) return undefined;
-      const elapsed = this.context.clock.now() - startedAt;
-      const purpose = purposeOfHedge(elapsed, balancer.meanLatency(this.route.name));
-      const hedge = this.startHedge(isFirstTry, purpose);
-      if (hedge) return hedge;
-      isFirstTry = false;
-      delay = HEDGE_RETRY_LATENCY_RATIO * balancer.meanLatency(this.route.name);
-    }
+    return endWithHedge(first, {
+      clock: this.context.clock,
+      meanLatency: () => this.scheduler.balancer.meanLatency(this.route.name),
+      startHedge: (provenOnly, purpose) => this.startHedge(provenOnly, purpose),
+    });
   }
 
   /** Returns the reply to a request that is held back because it crashes upstreams. */
--- a/src/gateway/replies.ts
+++ b/src/gateway/replies.ts
@@ -2,7 +2,7 @@
 
 import { MILLIS_PER_SECOND, type Millis } from '../model';
 
-import type { GatewayReply } from './proxied-request';
+import type { GatewayReply } from './gateway-reply';
 import { endToEndHeaders } from './headers';
 
 /** How a request is answered; `no-route` if no route matches. */
--- a/src/gateway/request-log.ts
+++ b/src/gateway/request-log.ts
@@ -1,7 +1,8 @@
 import type { GatewayRoute, Instant, Millis } from '../model';
 import type { Clock, EventField, Telemetry } from '../ports';
 
-import type { ProxiedRequest, GatewayReply } from './proxied-request';
+import type { GatewayReply } from './gateway-reply';
+import type { ProxiedRequest } from './proxied-request';
 import type { CallerRequest } from './forwarding';
 import type { ServiceScheduler } from './service-scheduler';
 
