Rank trial hosts only when a trial is due

While any crash was known, each request ranked all hosts up to four times to see whether this one was to try it: work that grows with the fleet. Now it is asked only when a trial is due. A peer that asks is told the last 64 records in place of up to 1,000, a burst of 250 datagrams. Read in the code, not measured.

--- a/src/core/crashes/crash-table.ts
+++ b/src/core/crashes/crash-table.ts
@@ -117,8 +117,15 @@
     return true;
   }
 
-  /** Returns how a request may be handled; `mayTry` tells whether this host is to try held ones. */
-  standingOf(digest: RequestDigest, now: Instant, mayTry: boolean): RequestStanding {
+  /**
+   * Returns how a request may be handled; `mayTry` tells whether this host is the one to try it, and
+   * is asked only if a trial is due.
+   */
+  standingOf(
+    digest: RequestDigest,
+    now: Instant,
+    mayTry: () => boolean = () => false,
+  ): RequestStanding {
     const entry = this.entries.get(digest);
     if (!entry || now >= entry.keepUntil) return CLEAR;
     const crashes = unansweredCrashes(entry.record);
@@ -128,7 +135,7 @@
     if (trials >= MAX_TRIAL_COUNT) return { kind: 'held', until: Number.POSITIVE_INFINITY };
     const since = Math.max(entry.triedAt, ...crashes.map(({ crashedAt }) => crashedAt));
     const until = since + FIRST_TRIAL_DELAY_MS * TRIAL_DELAY_GROWTH ** trials;
-    return mayTry && now >= until ? { kind: 'trial' } : { kind: 'held', until };
+    return now >= until && mayTry() ? { kind: 'trial' } : { kind: 'held', until };
   }
 
   /** Records that this node sends a held request for a trial. */
--- a/src/gateway/crash-exchange.ts
+++ b/src/gateway/crash-exchange.ts
@@ -25,6 +25,8 @@
 const REPEAT_PEER_COUNT = 3;
 /** Number of records that are repeated at each interval. */
 const MAX_REPEATED_COUNT = 16;
+/** Number of records that a peer is told when it asks, the last changed ones. */
+const MAX_TOLD_COUNT = 64;
 /** Number of peers that are asked for their records when others become known. */
 const ASKED_PEER_COUNT = 3;
 
@@ -55,7 +57,7 @@
   standingOf(request: CallerRequest): RequestStanding {
     if (this.table.size === 0) return CLEAR;
     const digest = this.digestOf(request);
-    return this.table.standingOf(digest, this.context.clock.now(), this.isTrialHost(digest));
+    return this.table.standingOf(digest, this.context.clock.now(), () => this.isTrialHost(digest));
   }
 
   /** Records that a held request has come again. */
@@ -103,7 +105,7 @@
         message.requests.forEach((news) => this.merge(fromNews(news, now), 'peer'));
         return;
       case 'wanted':
-        this.tell([message.from], this.table.records());
+        this.tell([message.from], this.table.records().slice(0, MAX_TOLD_COUNT));
     }
   }
 
@@ -142,17 +144,19 @@
   private merge(record: RequestRecord, source: 'own' | 'peer'): boolean {
     const { digest } = record;
     const now = this.context.clock.now();
-    const before = this.table.standingOf(digest, now, false).kind;
+    const before = this.table.standingOf(digest, now).kind;
     if (!this.table.merge(record, now)) return false;
     this.timer ??= setInterval(() => this.repeat(), REPEAT_INTERVAL_MS);
-    const after = this.table.standingOf(digest, now, false);
+    const after = this.table.standingOf(digest, now);
     if (after.kind === before) return true;
     this.context.telemetry.count('crashing_request_changes', { to: after.kind, source });
     this.context.telemetry.event(`crashing-request-${after.kind}`, {
       digest,
       crashes: this.table.crashCount(digest),
       upstreams: record.crashes.map(({ upstream }) => upstream).join(' '),
-      ...(after.kind === 'held' ? { nextTrialMs: Math.round(after.until - now) } : {}),
+      ...(after.kind === 'held' && Number.isFinite(after.until)
+        ? { nextTrialMs: Math.round(after.until - now) }
+        : {}),
       source,
     });
     return true;
--- a/test/core/crashes/crash-table.test.ts
+++ b/test/core/crashes/crash-table.test.ts
@@ -31,10 +31,10 @@
     const table = new CrashTable();
     const kinds = ['a', 'b', 'c'].map((upstream, i) => {
       table.merge(crashOf(upstream, i), i);
-      return table.standingOf(DIGEST, 10, false).kind;
+      return table.standingOf(DIGEST, 10).kind;
     });
     expect(kinds).toEqual(['clear', 'suspect', 'held']);
-    expect(table.standingOf('another', 10, false).kind).toEqual('clear');
+    expect(table.standingOf('another', 10).kind).toEqual('clear');
   });
 
   it('counts a crash once however many hosts report it', () => {
@@ -51,17 +51,17 @@
 
   it('lets one host try a held request, twice at most and ever later', () => {
     const table = tableOf(crashOf('a', 1), crashOf('b', 2), crashOf('c', 3));
-    expect(table.standingOf(DIGEST, 4 * MINUTE_MS, true).kind).toEqual('held');
-    expect(table.standingOf(DIGEST, 6 * MINUTE_MS, false).kind).toEqual('held');
-    expect(table.standingOf(DIGEST, 6 * MINUTE_MS, true).kind).toEqual('trial');
+    expect(table.standingOf(DIGEST, 4 * MINUTE_MS, () => true).kind).toEqual('held');
+    expect(table.standingOf(DIGEST, 6 * MINUTE_MS).kind).toEqual('held');
+    expect(table.standingOf(DIGEST, 6 * MINUTE_MS, () => true).kind).toEqual('trial');
     table.startTrial(DIGEST, 6 * MINUTE_MS);
-    expect(table.standingOf(DIGEST, 6 * MINUTE_MS + 1, true).kind).toEqual('held');
+    expect(table.standingOf(DIGEST, 6 * MINUTE_MS + 1, () => true).kind).toEqual('held');
     table.merge(crashOf('d', 6 * MINUTE_MS + 100), 6 * MINUTE_MS + 100);
-    expect(table.standingOf(DIGEST, 50 * MINUTE_MS, true).kind).toEqual('held');
+    expect(table.standingOf(DIGEST, 50 * MINUTE_MS, () => true).kind).toEqual('held');
     table.touch(DIGEST, 50 * MINUTE_MS);
-    expect(table.standingOf(DIGEST, 57 * MINUTE_MS, true).kind).toEqual('trial');
+    expect(table.standingOf(DIGEST, 57 * MINUTE_MS, () => true).kind).toEqual('trial');
     table.startTrial(DIGEST, 57 * MINUTE_MS);
-    expect(table.standingOf(DIGEST, 57 * MINUTE_MS, true)).toEqual({
+    expect(table.standingOf(DIGEST, 57 * MINUTE_MS, () => true)).toEqual({
       kind: 'held',
       until: Number.POSITIVE_INFINITY,
     });
@@ -69,7 +69,7 @@
 
   it('forgets a request that has not come for an hour, and the oldest of too many', () => {
     const table = tableOf(crashOf('a', 1), crashOf('b', 2), crashOf('c', 3));
-    expect(table.standingOf(DIGEST, 62 * MINUTE_MS, false).kind).toEqual('clear');
+    expect(table.standingOf(DIGEST, 62 * MINUTE_MS).kind).toEqual('clear');
     for (let i = 0; i < 1000; i++) {
       table.merge({ ...crashOf('a', 2000), digest: `other-${i}` }, 2000);
     }
@@ -93,7 +93,7 @@
     fc.assert(
       fc.property(fc.array(record, { maxLength: 8 }), (records) => {
         const [one, other] = [tableOf(...records), tableOf(...[...records].reverse())];
-        expect(one.standingOf(DIGEST, 1, false)).toEqual(other.standingOf(DIGEST, 1, false));
+        expect(one.standingOf(DIGEST, 1)).toEqual(other.standingOf(DIGEST, 1));
       }),
       { seed: 26, numRuns: 300 },
     );
