Put a refused connection down to the upstream only on a good path

What callers saw: in a test of ours nothing under one path was served after a cut that reset connections and refused new ones had ended.

Cause: a reset and a refusal counted as a crash of the upstream under each request in flight. On a path that is cut all upstreams look like that, so that a path that is asked for often was held back at all gateways.

Evidence: path-cut.test.ts with requests in flight at the cut, red before: 17 crashes logged at the cut gateway, 0 of 60 served afterwards.

Change: after the refusal the path is checked, and the crash is recorded only if other upstreams take connections.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -163,7 +163,11 @@
   }
   telemetry.latency('attempt', took);
   telemetry.count('attempts', { service: scheduler.name, outcome: outcome.kind });
-  if (isBrokenOff(result) && (await refusesConnections(upstream.endpoint))) {
+  if (
+    isBrokenOff(result) &&
+    (await refusesConnections(upstream.endpoint)) &&
+    (await context.path.confirmRefusal())
+  ) {
     reportCrash(context, attempt);
   }
   return { outcome, result };
--- a/src/gateway/path-monitor.ts
+++ b/src/gateway/path-monitor.ts
@@ -81,6 +81,15 @@
     return !this.isCut;
   }
 
+  /**
+   * Resolves with whether a connection that was reset or refused can be put down to its upstream;
+   * unlike silence, this may be the path's fault while other upstreams still answer.
+   */
+  async confirmRefusal(): Promise<boolean> {
+    await this.checkIfDue();
+    return !this.isCut;
+  }
+
   close(): void {
     clearInterval(this.timer);
   }
--- a/test/gateway/path-cut.test.ts
+++ b/test/gateway/path-cut.test.ts
@@ -15,6 +15,8 @@
 const MIN_SERVED_RATIO = 2 / 3;
 const REQUEST_COUNT = 60;
 const REQUEST_GAP_MS = 20;
+/** Time in milliseconds that requests take which are in flight at the cut. */
+const IN_FLIGHT_WORK_MS = 400;
 
 /** Sends requests at a steady rate; resolves with the share that was served. */
 const servedShare = async (
@@ -50,7 +52,12 @@
     });
     await sleep(1000);
     await servedShare(cut, '/read/x', 'warm-up');
+    upstreams.forEach((upstream) => Object.assign(upstream, { work: IN_FLIGHT_WORK_MS }));
+    const inFlight = servedShare(cut, '/read/x', 'in-flight');
+    await sleep(IN_FLIGHT_WORK_MS / 2);
     await Promise.all(links.map((link) => link.cut()));
+    await inFlight;
+    upstreams.forEach((upstream) => Object.assign(upstream, { work: 5 }));
     // Requests that meet the cut show it.
     await servedShare(cut, '/read/x', 'cut');
     await sleep(STABILITY_WINDOW_MS);
@@ -75,6 +82,10 @@
     }),
   );
 
+  it('takes no upstream for crashed, although its connections are reset and refused', () => {
+    expect(cut.count('upstream-crashed')).toEqual(0);
+  });
+
   it('serves by itself again after the links are restored', async () => {
     await Promise.all(links.map((link) => link.restore()));
     await cut.until(() => cut.count('path-restored') === 1);
