Count a run that a peer may have made of a relayed request

Found when reading the diff: a request that can be repeated and broke off at one peer was offered to the next with as many runs as before, and was called refused (not run) if that one refused it.

Change: each offer that may have run takes one of the runs left, and after one no refusal is passed on. Two of the five new tests failed before.

--- a/src/gateway/peer-relay.ts
+++ b/src/gateway/peer-relay.ts
@@ -15,7 +15,7 @@
 export const PATH_CUT_RETRY_AFTER_MS: Millis = 250;
 /** The target header of a relayed request, which the peer replaces. */
 const NO_TARGET = 'relay';
-const REQUEST_TIMEOUTS: ReadonlySet<number> = new Set([504]);
+const GATEWAY_TIMEOUT = 504;
 /** Reasons for which a peer refuses a request that another peer may take. */
 const PEER_REASONS: ReadonlySet<string> = new Set(['path-cut', 'no-config']);
 
@@ -73,8 +73,11 @@
     const { request, service } = relayed;
     const peers = this.ports.peersFor(service).slice(0, MAX_OFFER_COUNT);
     if (peers.length === 0) return { kind: 'alone' };
+    /** The last offer after which a peer may have run the request. */
+    let unknown: Extract<Offer, { readonly kind: 'unknown' }> | undefined;
+    let { maxRuns } = relayed;
     for (const peer of peers) {
-      const offer = await this.offer(peer, relayed);
+      const offer = await this.offer(peer, { ...relayed, maxRuns });
       this.context.telemetry.count('relayed_requests', { service, result: offer.kind });
       this.context.telemetry.event('request-relayed', {
         request: request.id,
@@ -84,10 +87,18 @@
         ...(offer.kind === 'replied' ? { outcome: offer.reply.kind } : {}),
         ...('why' in offer ? { why: offer.why } : {}),
       });
-      if (offer.kind === 'replied') return offer;
-      if (offer.kind === 'unknown' && !relayed.idempotent) return offer;
-      if (relayed.signal.aborted) return { kind: 'replied', reply: { kind: 'nobody' } };
+      switch (offer.kind) {
+        case 'replied':
+          return unknown && offer.reply.kind === 'refused' ? unknown : offer;
+        case 'unknown':
+          unknown = offer;
+          maxRuns -= 1;
+          if (!relayed.idempotent || maxRuns < 1) return offer;
+          break;
+        case 'declined':
+      }
     }
+    if (unknown) return unknown;
     const reply = {
       kind: 'refused',
       why: 'path-cut',
@@ -150,7 +161,7 @@
         return { kind: 'replied', reply: { kind: 'refused', why, retryAfter } };
       }
       case 'lost': {
-        const isTimeout = REQUEST_TIMEOUTS.has(head.status);
+        const isTimeout = head.status === GATEWAY_TIMEOUT;
         return { kind: 'replied', reply: { kind: 'lost', why, isTimeout } };
       }
       case undefined:
--- /dev/null
+++ b/test/gateway/peer-relay.test.ts
@@ -0,0 +1,118 @@
+import { expect } from 'earl';
+import { createServer, type RequestListener, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+
+import { headerConventions, parseSettings } from '../../platform';
+import { systemClock } from '../../src/adapters';
+import { PeerRelay, type RelayResult } from '../../src/gateway/peer-relay';
+import { RELAY_HEADERS } from '../../src/gateway/relay-headers';
+import type { Member } from '../../src/model';
+
+import { recordingTelemetry, settingsText } from './harness';
+
+const breaksOff: RequestListener = (req) => req.socket.destroy();
+const refuses =
+  (why: string): RequestListener =>
+  (_req, res) => {
+    res.writeHead(503, { [RELAY_HEADERS.outcome]: `refused ${why}`, 'retry-after': '0.5' }).end();
+  };
+const isOfAnEarlierBuild: RequestListener = (_req, res) => {
+  res.writeHead(404).end();
+};
+const answers: RequestListener = (req, res) => {
+  const maxRuns = String(req.headers[RELAY_HEADERS.maxRuns]);
+  res.writeHead(200, { [RELAY_HEADERS.outcome]: 'answer' }).end(maxRuns);
+};
+
+describe('the relay of a request to peers', () => {
+  let servers: Server[] = [];
+  afterEach(() => {
+    servers.forEach((server) => server.close().closeAllConnections());
+    servers = [];
+  });
+
+  const relay = async (
+    peers: readonly RequestListener[],
+    idempotent: boolean,
+  ): Promise<RelayResult> => {
+    const members: Member[] = [];
+    for (const listener of peers) {
+      const server = createServer(listener);
+      servers.push(server);
+      await new Promise<void>((resolve) => {
+        server.listen(0, '127.0.0.1', resolve);
+      });
+      const { port } = server.address() as AddressInfo;
+      members.push({
+        incarnation: `n${port}`,
+        dataCentre: 'takoradi',
+        address: '127.0.0.1',
+        callerPort: 1,
+        peerPort: port,
+        state: 'alive',
+      });
+    }
+    const settings = parseSettings('test', settingsText(9000, 9000)).unsafeCoerce();
+    const telemetry = recordingTelemetry();
+    const peerRelay = new PeerRelay(
+      { settings, clock: systemClock, telemetry, headerConventions, random: Math.random },
+      { peersFor: () => members, onAnswerHead: () => {} },
+    );
+    const { signal } = new AbortController();
+    const deadline = systemClock.now() + 1000;
+    const request = {
+      id: 'r',
+      method: 'GET',
+      target: '/x',
+      host: 'shop.example',
+      rawHeaders: ['Host', 'shop.example'],
+      body: Buffer.alloc(0),
+      arrivedAt: systemClock.now(),
+      deadline,
+      signal,
+    };
+    const result = await peerRelay.run({
+      request,
+      service: 'shop',
+      idempotent,
+      maxRuns: 2,
+      deadline,
+      signal,
+    });
+    peerRelay.close();
+    return result;
+  };
+
+  const bodyOf = (result: RelayResult): string =>
+    result.kind === 'replied' &&
+    result.reply.kind === 'answer' &&
+    result.reply.body.kind === 'whole'
+      ? result.reply.body.bytes.toString()
+      : result.kind;
+
+  it('goes on to the next peer where one has not run it', async () => {
+    const declining = [refuses('path-cut'), isOfAnEarlierBuild];
+    expect(bodyOf(await relay([...declining, answers], false))).toEqual('2');
+    const refused = await relay([...declining, refuses('no-config')], false);
+    expect(refused.kind === 'replied' && refused.reply.kind).toEqual('refused');
+  });
+
+  it('does not send again what can not be repeated once a peer may have run it', async () => {
+    expect((await relay([breaksOff, answers], false)).kind).toEqual('unknown');
+  });
+
+  it('counts a run that may have been when it sends again what can be repeated', async () => {
+    expect(bodyOf(await relay([breaksOff, answers], true))).toEqual('1');
+  });
+
+  it('does not call a request refused that an earlier peer may have run', async () => {
+    expect((await relay([breaksOff, refuses('no-room')], true)).kind).toEqual('unknown');
+    expect((await relay([breaksOff, refuses('path-cut')], true)).kind).toEqual('unknown');
+    expect((await relay([breaksOff, breaksOff, answers], true)).kind).toEqual('unknown');
+  });
+
+  it('says that it is alone where no peer is known', async () => {
+    expect((await relay([], true)).kind).toEqual('alone');
+  });
+});
