Keep the first crashes of a request, so that records settle

Found when reading the diff: of more than five crashes the last five were kept. Gateways that had heard of them in another order told each other crashes that the other had dropped, for ever, and each one renewed the record, so that a request that no longer came was never forgotten.

Change: the first five that a gateway hears of stay; they are enough to hold a request for good. The new test failed before.

--- a/src/core/crashes/crash-table.ts
+++ b/src/core/crashes/crash-table.ts
@@ -102,13 +102,12 @@
       digest,
       crashes: mergeCrashes(known.crashes, crashes),
       answeredAt: latestAnswer,
-    });
+    }).slice(0, MAX_CRASH_COUNT);
     const isNew =
       latestAnswer > known.answeredAt || merged.some((crash) => !known.crashes.includes(crash));
     if (!isNew) return false;
-    const kept = merged.slice(-MAX_CRASH_COUNT);
     this.put({
-      record: { digest, crashes: kept, answeredAt: latestAnswer },
+      record: { digest, crashes: merged, answeredAt: latestAnswer },
       triedAt: entry?.triedAt ?? Number.NEGATIVE_INFINITY,
       trials: entry?.trials ?? 0,
       keepUntil: now + RETENTION_MS,
--- a/test/core/crashes/crash-table.test.ts
+++ b/test/core/crashes/crash-table.test.ts
@@ -77,6 +77,14 @@
     expect(table.crashCount(DIGEST)).toEqual(0);
   });
 
+  it('takes nothing for new that tables with other crashes of the same request repeat', () => {
+    const crashes = ['a', 'b', 'c', 'd', 'e', 'f', 'g'].map((upstream, i) => crashOf(upstream, i));
+    const [one, other] = [tableOf(...crashes), tableOf(...[...crashes].reverse())];
+    const tell = (from: CrashTable, to: CrashTable): boolean =>
+      from.records().some((record) => to.merge(record, 2000));
+    expect([tell(one, other), tell(other, one), tell(one, other)]).toEqual([false, false, false]);
+  });
+
   it('comes to the same standing in whatever order records are merged', () => {
     const record = fc.record({
       digest: fc.constant(DIGEST),
