Look at callers' keys where the configuration has workspaces

Cause: gateways passed a caller's key on to upstreams, never set the workspace's name, and ran requests with unknown keys.

Change: the configuration's workspaces are decoded with their keys, priorities and quotas. A request of a route that is not public needs a known key (401); the key is taken out, the workspace's name is set whatever the caller sent, and its priority goes before the route's. A relayed request takes the key to the peer, which looks at it again.

--- a/src/core/gateway/owners.ts
+++ b/src/core/gateway/owners.ts
@@ -23,7 +23,7 @@
 export const capacityOf = ({
   cores,
   megabitsPerSecond,
-}: HostLimits): RequestsPerSecond | undefined => {
+}: Pick<HostLimits, 'cores' | 'megabitsPerSecond'>): RequestsPerSecond | undefined => {
   const rate = Math.min(cores / REQUEST_CORE_SECONDS, megabitsPerSecond / REQUEST_MEGABITS);
   return Number.isFinite(rate)
     ? Math.max(1, Math.floor(PLANNED_UTILIZATION_RATIO * rate))
--- a/src/gateway/datagram.ts
+++ b/src/gateway/datagram.ts
@@ -13,10 +13,12 @@
 
 /**
  * Topics of messages between gateways: `sightings` are observations of upstreams, `crashes` tell of
- * requests that crash them, `paths` of hosts that are cut off from them. Builds drop the datagrams
- * of topics that they don't know.
+ * requests that crash them, `paths` of hosts that are cut off from them, `quotas` carry tokens of
+ * workspaces' quotas, `freshness` proofs that a host's keys are the store's. Builds drop the
+ * datagrams of topics that they don't know.
  */
-export type PeerTopic = 'membership' | 'sightings' | 'beliefs' | 'crashes' | 'paths';
+export type PeerTopic =
+  'membership' | 'sightings' | 'beliefs' | 'crashes' | 'paths' | 'quotas' | 'freshness';
 
 /** A datagram; `body` of topic `membership` is a `MembershipMessage`. */
 export interface Datagram {
@@ -34,7 +36,15 @@
 const VERSION_WITHOUT_ERA = 2;
 
 /** Topics by their number in the binary format. */
-const TOPICS: readonly PeerTopic[] = ['membership', 'sightings', 'beliefs', 'crashes', 'paths'];
+const TOPICS: readonly PeerTopic[] = [
+  'membership',
+  'sightings',
+  'beliefs',
+  'crashes',
+  'paths',
+  'quotas',
+  'freshness',
+];
 /** First byte of a datagram in JSON, `[`; no binary one begins with it. */
 const JSON_START = 0x5b;
 
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -70,6 +70,17 @@
   /** Knows the requests that crash upstreams. */
   readonly crashes: CrashExchange;
 
+  /** Receivers of the bodies of datagrams, which they have to check. */
+  private readonly handlers: Readonly<Record<PeerTopic, (body: unknown) => void>> = {
+    membership: (body) => this.onMembershipMessage(body),
+    sightings: (body) => this.evidence.onObservations(body),
+    beliefs: (body) => this.evidence.onBeliefs(body),
+    crashes: (body) => this.crashes.onMessage(body),
+    paths: (body) => this.paths.onMessage(body),
+    quotas: () => {},
+    freshness: () => {},
+  };
+
   private tickTimer: NodeJS.Timeout | undefined;
 
   /** Until this time, a gateway that knows no other member gives callers no addresses. */
@@ -88,7 +99,7 @@
     this.link = new DatagramLink(telemetry, {
       feedPositions: () => service.feedPositions(),
       onPeerPositions: (positions) => service.onPeerPositions(positions),
-      onMessage: (topic, body) => this.onMessage(topic, body),
+      onMessage: (topic, body) => this.handlers[topic](body),
     });
     this.membership = Membership.start(
       {
@@ -274,29 +285,13 @@
     return this.ownersFor(service).filter(({ address }) => address !== self);
   }
 
-  private onMessage(topic: PeerTopic, body: unknown): void {
-    const { telemetry } = this.context;
-    switch (topic) {
-      case 'membership':
-        // A gateway that answers before it has joined would be taken for a member.
-        if (!this.isJoined) return;
-        decodeMembershipMessage(body).caseOf({
-          Left: (err) => telemetry.count('datagrams_refused', { reason: err.kind }),
-          Right: (message) => this.applyEvent({ kind: 'message', message }),
-        });
-        return;
-      case 'sightings':
-        this.evidence.onObservations(body);
-        return;
-      case 'beliefs':
-        this.evidence.onBeliefs(body);
-        return;
-      case 'crashes':
-        this.crashes.onMessage(body);
-        return;
-      case 'paths':
-        this.paths.onMessage(body);
-    }
+  private onMembershipMessage(body: unknown): void {
+    // A gateway that answers before it has joined would be taken for a member.
+    if (!this.isJoined) return;
+    decodeMembershipMessage(body).caseOf({
+      Left: (err) => this.context.telemetry.count('datagrams_refused', { reason: err.kind }),
+      Right: (message) => this.applyEvent({ kind: 'message', message }),
+    });
   }
 
   /** Applies an event to the membership and carries out its effects. */
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -1,11 +1,12 @@
 /** Encodes requests to upstreams, and classifies the results. */
 import { STALE_CONNECTION, type AttemptOutcome } from '../core/gateway';
-import type { Instant, Millis, UpstreamId } from '../model';
+import type { GatewayWorkspace, Instant, Millis, UpstreamId } from '../model';
 import type { HeaderConventions } from '../ports';
 
 import { headerOf } from './answer-parser';
 import type { ExchangeResult } from './upstream-connection';
 import { isStaleReset } from './connection-pool';
+import type { QuotaToken } from './workspace-access';
 
 /** A caller's request, completely read. */
 export interface CallerRequest {
@@ -23,6 +24,12 @@
   readonly deadline: Instant;
   /** How many upstreams may run it, if another gateway has passed it on; else undefined. */
   readonly relayedMaxRuns?: number | undefined;
+  /** The workspace in whose name it runs; undefined without workspaces or on a public route. */
+  readonly workspace?: GatewayWorkspace | undefined;
+  /** The caller's key, taken out of `rawHeaders`; a peer that gets the request looks at it again. */
+  readonly apiKey?: string | undefined;
+  /** The request's token of its workspace's quota, if that has one. */
+  readonly quotaToken?: QuotaToken | undefined;
   /** Aborted when the connection to the caller closes. */
   readonly signal: AbortSignal;
 }
--- a/src/gateway/gateway-reply.ts
+++ b/src/gateway/gateway-reply.ts
@@ -15,7 +15,13 @@
     }
   /** The gateway refuses the request, which has not run; `retryAfter` goes out as Retry-After. */
   | { readonly kind: 'refused'; readonly why: string; readonly retryAfter: Millis }
+  /** The request's workspace has used up its quota; the request has not run. */
+  | { readonly kind: 'over-quota'; readonly retryAfter: Millis }
   /** There is no answer, and the request has run or may have run. */
   | { readonly kind: 'lost'; readonly why: string; readonly isTimeout: boolean }
   /** The caller has closed its connection; nothing is sent. */
   | { readonly kind: 'nobody' };
+
+/** Whether a reply promises that the request has not run and never will. */
+export const hasNotRun = ({ kind }: GatewayReply): boolean =>
+  kind === 'refused' || kind === 'over-quota';
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,7 +15,6 @@
 
 import { AnnouncementReader } from './announcements';
 import type { RequestContext } from './attempt';
-import type { GatewayReply } from './gateway-reply';
 import { ProxiedRequest } from './proxied-request';
 import { CallerServer, type CallerService } from './caller-server';
 import type { GatewayContext } from './context';
@@ -25,12 +24,24 @@
 import { PeerRelay } from './peer-relay';
 import { RelayServer } from './relay-server';
 import { Fleet } from './fleet';
+import { hasNotRun } from './gateway-reply';
 import type { CallerRequest } from './forwarding';
 import { UpstreamRegistry } from './upstream-registry';
 import { RequestLog } from './request-log';
 import { ServiceSchedulers } from './service-schedulers';
 import { createDirectoryServer, createMetricsServer, createReadinessServer } from './small-servers';
 import { ConnectionPool } from './connection-pool';
+import type { CallerReply } from './replies';
+import { WorkspaceAccess, type KeyFreshness, type QuotaGate } from './workspace-access';
+
+const ALWAYS_FRESH: KeyFreshness = {
+  confirm: () => Promise.resolve({ kind: 'fresh' }),
+  refresh: () => Promise.resolve(),
+};
+const UNLIMITED: QuotaGate = {
+  take: () => Promise.resolve({ kind: 'granted' }),
+  giveBack: () => {},
+};
 
 /** Sources and codecs that a gateway is connected to. */
 export interface GatewayPorts {
@@ -91,6 +102,8 @@
 
   private readonly requestContext: RequestContext;
 
+  private readonly access: WorkspaceAccess;
+
   /** Routes of the configuration in force; undefined until one is known. */
   private routes: HostRoutes | undefined;
 
@@ -163,6 +176,7 @@
       },
     ];
     this.metricsServer = createMetricsServer(() => ports.metrics());
+    this.access = new WorkspaceAccess(context, ALWAYS_FRESH, UNLIMITED, () => this.routes?.config);
     this.requestContext = {
       ...context,
       pool: this.pool,
@@ -269,16 +283,21 @@
   }
 
   /** Forwards a request by its route. */
-  private async serve(
-    request: CallerRequest,
-  ): Promise<GatewayReply | { readonly kind: 'no-route' }> {
+  private async serve(received: CallerRequest): Promise<CallerReply> {
     const { routes } = this;
     if (!routes) return { kind: 'refused', why: 'no-config', retryAfter: NO_CONFIG_RETRY_AFTER_MS };
-    const route = routes.find(request.host, request.target);
+    const route = routes.find(received.host, received.target);
     if (!route) return { kind: 'no-route' };
+    const access = await this.access.decide(received, route);
+    const { request } = access;
+    if (access.kind === 'denied') {
+      this.requestContext.log.logDenied({ request, route, reply: access.reply });
+      return access.reply;
+    }
     const scheduler = this.schedulers.of(this.roundRobin.next(route));
     const proxiedRequest = new ProxiedRequest(this.requestContext, request, route, scheduler);
     const reply = await proxiedRequest.run();
+    if (hasNotRun(reply)) request.quotaToken?.giveBack();
     this.requestContext.log.logEnded({
       request,
       route,
--- a/src/gateway/headers.ts
+++ b/src/gateway/headers.ts
@@ -40,3 +40,25 @@
   }
   return kept;
 };
+
+/** A header that was taken out of a request; its name is in lower case. */
+export interface RemovedHeader {
+  readonly name: string;
+  readonly value: string;
+}
+
+/** Takes the headers with these names (in lower case) out of raw headers. */
+export const withoutHeaders = (
+  rawHeaders: readonly string[],
+  names: ReadonlySet<string>,
+): { readonly kept: readonly string[]; readonly removed: readonly RemovedHeader[] } => {
+  const kept: string[] = [];
+  const removed: RemovedHeader[] = [];
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    const name = rawHeaders[i] ?? '';
+    const value = rawHeaders[i + 1] ?? '';
+    if (names.has(name.toLowerCase())) removed.push({ name: name.toLowerCase(), value });
+    else kept.push(name, value);
+  }
+  return { kept, removed };
+};
--- a/src/gateway/peer-relay.ts
+++ b/src/gateway/peer-relay.ts
@@ -5,7 +5,7 @@
 import { ConnectionPool, type ConnectionTarget } from './connection-pool';
 import type { GatewayContext } from './context';
 import { encodeRequest, type CallerRequest } from './forwarding';
-import type { GatewayReply } from './gateway-reply';
+import { hasNotRun, type GatewayReply } from './gateway-reply';
 import { decodeAnsweringUpstream, RELAY_HEADERS, type AnsweringUpstream } from './relay-headers';
 import type { ExchangeResult } from './upstream-connection';
 
@@ -27,6 +27,11 @@
   return { ...head, rawHeaders };
 };
 
+const retryAfterOf = (head: AnswerHead): Millis => {
+  const seconds = Number(headerOf(head.rawHeaders, 'retry-after'));
+  return seconds > 0 ? seconds * MILLIS_PER_SECOND : PATH_CUT_RETRY_AFTER_MS;
+};
+
 /** A request to be relayed, with what the peer may do. */
 export interface RelayedRequest {
   readonly request: CallerRequest;
@@ -89,7 +94,7 @@
       });
       switch (offer.kind) {
         case 'replied':
-          return unknown && offer.reply.kind === 'refused' ? unknown : offer;
+          return unknown && hasNotRun(offer.reply) ? unknown : offer;
         case 'unknown':
           unknown = offer;
           maxRuns -= 1;
@@ -107,6 +112,11 @@
     return { kind: 'replied', reply };
   }
 
+  /** Whether there is a peer that a request of the service may be offered to. */
+  hasPeers(service: ServiceName): boolean {
+    return this.ports.peersFor(service).length > 0;
+  }
+
   close(): void {
     this.pool.close();
   }
@@ -114,7 +124,8 @@
   private async offer(peer: Member, relayed: RelayedRequest): Promise<Offer> {
     const { request, deadline, signal, idempotent, maxRuns } = relayed;
     const { clock, headerConventions } = this.context;
-    const rawHeaders = [...request.rawHeaders, RELAY_HEADERS.maxRuns, String(maxRuns)];
+    const key = request.apiKey === undefined ? [] : [headerConventions.apiKey, request.apiKey];
+    const rawHeaders = [...request.rawHeaders, ...key, RELAY_HEADERS.maxRuns, String(maxRuns)];
     const target = {
       id: peer.incarnation,
       born: 0,
@@ -156,10 +167,13 @@
       }
       case 'refused': {
         if (PEER_REASONS.has(why)) return { kind: 'declined' };
-        const seconds = Number(headerOf(head.rawHeaders, 'retry-after'));
-        const retryAfter = seconds > 0 ? seconds * MILLIS_PER_SECOND : PATH_CUT_RETRY_AFTER_MS;
-        return { kind: 'replied', reply: { kind: 'refused', why, retryAfter } };
+        return {
+          kind: 'replied',
+          reply: { kind: 'refused', why, retryAfter: retryAfterOf(head) },
+        };
       }
+      case 'over-quota':
+        return { kind: 'replied', reply: { kind: 'over-quota', retryAfter: retryAfterOf(head) } };
       case 'lost': {
         const isTimeout = head.status === GATEWAY_TIMEOUT;
         return { kind: 'replied', reply: { kind: 'lost', why, isTimeout } };
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -4,7 +4,7 @@
 
 import { runAttempt, type RequestContext } from './attempt';
 import { NOT_RUN_STATUSES, UNFRAMED, type CallerRequest } from './forwarding';
-import type { GatewayReply } from './gateway-reply';
+import { hasNotRun, type GatewayReply } from './gateway-reply';
 import { endWithHedge, type AttemptResult, type RunningAttempt } from './hedging';
 import { PATH_CUT_RETRY_AFTER_MS, type RelayedRequest } from './peer-relay';
 import type { ServiceScheduler } from './service-scheduler';
@@ -145,11 +145,13 @@
       return this.finalReply('path-cut', PATH_CUT_RETRY_AFTER_MS);
     }
     if (this.runs >= this.maxRuns) return undefined;
+    // The peer that sends the request counts it against the workspace's quota.
+    if (this.runs === 0 && relay.hasPeers(this.scheduler.name)) this.request.quotaToken?.giveBack();
     const result = await relay.run(this.relayedRequest(this.request.signal));
     switch (result.kind) {
       case 'replied':
-        return this.runs > 0 && result.reply.kind === 'refused'
-          ? this.finalReply(result.reply.why, result.reply.retryAfter)
+        return this.runs > 0 && hasNotRun(result.reply)
+          ? this.finalReply('path-cut', PATH_CUT_RETRY_AFTER_MS)
           : result.reply;
       case 'unknown':
         this.runs += 1;
@@ -271,7 +273,7 @@
       objective: arrivedAt + this.route.latencyObjective - now,
       remaining: this.deadline - now,
       lastResort: false,
-      priority: this.route.priority,
+      priority: this.request.workspace?.priority ?? this.route.priority,
       arrivedAt: now,
       startBy: Math.max(
         inObjective,
--- a/src/gateway/replies.ts
+++ b/src/gateway/replies.ts
@@ -5,13 +5,15 @@
 import type { GatewayReply } from './gateway-reply';
 import { endToEndHeaders } from './headers';
 
-/** How a request is answered; `no-route` if no route matches. */
-export type CallerReply = GatewayReply | { readonly kind: 'no-route' };
+/** How a request is answered; `no-route` if no route matches, `unauthorized` if its key is unknown. */
+export type CallerReply = GatewayReply | { readonly kind: 'no-route' | 'unauthorized' };
 
 const SERVICE_UNAVAILABLE = 503;
 const BAD_GATEWAY = 502;
 const GATEWAY_TIMEOUT = 504;
 const NOT_FOUND = 404;
+const UNAUTHORIZED = 401;
+const TOO_MANY_REQUESTS = 429;
 /** Number of decimals of the seconds in Retry-After. */
 const RETRY_DECIMALS = 2;
 /** Statuses whose answers have no body. */
@@ -27,10 +29,15 @@
   res.end(body);
 };
 
-/** Writes a 503, which means that the request has not run, with Retry-After in seconds. */
-export const writeRefusal = (res: ServerResponse, why: string, retryAfter: Millis): void => {
+/** Writes a status which means that the request has not run, with Retry-After in seconds. */
+export const writeRefusal = (
+  res: ServerResponse,
+  why: string,
+  retryAfter: Millis,
+  status = SERVICE_UNAVAILABLE,
+): void => {
   res.setHeader('retry-after', (retryAfter / MILLIS_PER_SECOND).toFixed(RETRY_DECIMALS));
-  writeError(res, SERVICE_UNAVAILABLE, why);
+  writeError(res, status, why);
 };
 
 /** Writes the answer of an upstream, with the end-to-end headers and a framing of its own. */
@@ -75,6 +82,12 @@
     case 'no-route':
       writeError(res, NOT_FOUND, 'no-route');
       return;
+    case 'unauthorized':
+      writeError(res, UNAUTHORIZED, 'unknown-key');
+      return;
+    case 'over-quota':
+      writeRefusal(res, 'over-quota', reply.retryAfter, TOO_MANY_REQUESTS);
+      return;
     case 'refused':
       writeRefusal(res, reply.why, reply.retryAfter);
       return;
--- a/src/gateway/request-digest.ts
+++ b/src/gateway/request-digest.ts
@@ -18,13 +18,18 @@
   host,
   target,
   rawHeaders,
+  workspace,
   body,
-}: Pick<CallerRequest, 'method' | 'host' | 'target' | 'rawHeaders' | 'body'>): RequestDigest => {
+}: Pick<
+  CallerRequest,
+  'method' | 'host' | 'target' | 'rawHeaders' | 'workspace' | 'body'
+>): RequestDigest => {
   const credentials = rawHeaders.filter((_, i) =>
     CALLER_HEADERS.has(rawHeaders[i - (i % 2)]?.toLowerCase() ?? ''),
   );
+  const caller = workspace ? [...credentials, workspace.name] : credentials;
   return createHash('sha256')
-    .update(JSON.stringify([method, host.toLowerCase(), target, credentials]))
+    .update(JSON.stringify([method, host.toLowerCase(), target, caller]))
     .update(body)
     .digest('hex')
     .slice(0, 2 * DIGEST_BYTES);
--- a/src/gateway/request-log.ts
+++ b/src/gateway/request-log.ts
@@ -5,6 +5,7 @@
 import type { ProxiedRequest } from './proxied-request';
 import type { CallerRequest } from './forwarding';
 import type { ServiceScheduler } from './service-scheduler';
+import { keyDigestOf, type AccessRefusal } from './workspace-access';
 
 /** A request that has ended, with what its log line reports. */
 export interface EndedRequest {
@@ -20,6 +21,13 @@
   readonly upstreamsAge: Millis;
 }
 
+/** A request that is not served because of its key or its workspace's quota. */
+export interface DeniedRequest {
+  readonly request: CallerRequest;
+  readonly route: GatewayRoute;
+  readonly reply: AccessRefusal;
+}
+
 /** Maximum number of log lines a second for successful requests; failures are always logged. */
 const MAX_ROUTINE_LINES_PER_SECOND = 20;
 const SECOND_MS: Millis = 1000;
@@ -56,6 +64,7 @@
     const fields = {
       request: request.id,
       route: route.name,
+      ...(request.workspace ? { workspace: request.workspace.name } : {}),
       service: scheduler.name,
       outcome: reply.kind,
       ...('why' in reply ? { why: reply.why } : {}),
@@ -76,6 +85,22 @@
     this.telemetry.count('requests', { service: scheduler.name, outcome: reply.kind });
   }
 
+  /** Writes the log line and the metrics of a request that is denied. */
+  logDenied({ request, route, reply }: DeniedRequest): void {
+    const { apiKey = '', workspace } = request;
+    this.logNotable('request', {
+      request: request.id,
+      route: route.name,
+      outcome: reply.kind,
+      ...('why' in reply ? { why: reply.why } : {}),
+      ...('retryAfter' in reply ? { retryAfterMs: Math.round(reply.retryAfter) } : {}),
+      ...(workspace ? { workspace: workspace.name } : {}),
+      ...(apiKey === '' ? {} : { keyDigest: keyDigestOf(apiKey) }),
+      tookMs: Math.round(this.clock.now() - request.arrivedAt),
+    });
+    this.telemetry.count('requests_denied', { outcome: reply.kind });
+  }
+
   /** Logs a request or attempt that failed, was refused or retried. */
   logNotable(name: string, fields: Readonly<Record<string, EventField>>): void {
     this.telemetry.event(name, fields);
--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -1,6 +1,8 @@
 /**
  * The inputs of a gateway: its settings, the operators' configuration and the upstreams in service.
  */
+import type { RequestsPerSecond } from './announcement';
+import type { WorkspaceName } from './rules';
 import type { Instant, Millis } from './time';
 import type { DataCentre, ServiceName, UpstreamId } from './upstream';
 
@@ -35,6 +37,17 @@
    * refused.
    */
   readonly floorShare: number;
+  /**
+   * Time within which a key that is taken away must be refused at every host, in contact with the
+   * store or not; undefined if hosts out of contact may go on.
+   */
+  readonly keyRevocationTime: Millis | undefined;
+  /** Length of the sliding window over which a workspace's quota is counted. */
+  readonly quotaWindow: Millis;
+  /** Ratio by which the requests in a window may exceed what the quota allows in it. */
+  readonly quotaExcessRatio: number;
+  /** Number of requests by which those in a window may exceed that in addition. */
+  readonly quotaExcessCount: number;
 }
 
 /** Defaults for bounds that the settings leave out: the strictest values that deployments set. */
@@ -48,6 +61,10 @@
   repeatBase: 0,
   directoryTtl: 5000,
   floorShare: 0.7,
+  keyRevocationTime: undefined,
+  quotaWindow: 5000,
+  quotaExcessRatio: 0,
+  quotaExcessCount: 0,
 };
 
 /** The resources of its host that a gateway may use. */
@@ -56,6 +73,8 @@
   readonly cores: number;
   /** Bandwidth of the host's network link; Infinity if the settings don't say. */
   readonly megabitsPerSecond: number;
+  /** Memory in bytes at which the process is killed; Infinity if the settings don't say. */
+  readonly memoryBytes: number;
 }
 
 /** A gateway's settings, validated. */
@@ -63,6 +82,8 @@
   /** The name of this gateway. */
   readonly node: string;
   readonly dataCentre: DataCentre;
+  /** All data centres of the deployment, in an order that every host has; empty if not known. */
+  readonly dataCentres: readonly DataCentre[];
   readonly listen: {
     /** HTTP for callers' requests. */
     readonly callers: Endpoint;
@@ -110,9 +131,27 @@
   readonly maxAttempts: number;
   /** Priority in the queue; 0 is the most urgent. */
   readonly priority: number;
+  /** Whether requests need no key where the configuration has workspaces. */
+  readonly isPublic: boolean;
   readonly targets: readonly RouteTarget[];
 }
 
+/** How many requests a workspace may make: a token bucket for all hosts together. */
+export interface WorkspaceQuota {
+  readonly rate: RequestsPerSecond;
+  /** Tokens that the bucket holds when it is full. */
+  readonly burst: number;
+}
+
+/** A workspace as the operators' configuration describes it. */
+export interface GatewayWorkspace {
+  readonly name: WorkspaceName;
+  /** Priority of its requests, 0 is the most urgent; undefined if that of the route holds. */
+  readonly priority: number | undefined;
+  /** Undefined if its requests are not limited. */
+  readonly quota: WorkspaceQuota | undefined;
+}
+
 /** Limits on the size and duration of callers' requests. */
 export interface CallerLimits {
   readonly maxHeaderBytes: number;
@@ -131,6 +170,8 @@
   readonly hosts: ReadonlyMap<string, readonly GatewayRoute[]>;
   readonly services: ReadonlySet<ServiceName>;
   readonly limits: CallerLimits;
+  /** The workspace of each key; undefined if the configuration has no workspaces. */
+  readonly workspacesByKey: ReadonlyMap<string, GatewayWorkspace> | undefined;
 }
 
 /** Stands for the start time of an upstream that does not state it. */
--- a/src/ports/header-conventions.ts
+++ b/src/ports/header-conventions.ts
@@ -17,6 +17,10 @@
   readonly targetUpstream: string;
   /** The header of answers which states that the request did not run. */
   readonly notRun: string;
+  /** The header of requests that carries a caller's key. */
+  readonly apiKey: string;
+  /** The header of requests to upstreams that carries the name of the caller's workspace. */
+  readonly workspace: string;
   /** Parses the load that an upstream reports in an answer's headers, if any. */
   parseLoad(header: (name: string) => string | undefined): UpstreamLoad | undefined;
   /**
--- a/test/core/gateway/gateway.test.ts
+++ b/test/core/gateway/gateway.test.ts
@@ -24,6 +24,7 @@
   latencyObjective: 500,
   maxAttempts: 2,
   priority: 1,
+  isPublic: false,
   targets: [{ service: 's', weight: 1 }],
   ...more,
 });
@@ -33,6 +34,7 @@
   hosts: new Map([['shop.example', routes]]),
   services: new Set(['s']),
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeout: 1, idleTimeout: 1 },
+  workspacesByKey: undefined,
 });
 
 describe('routes', () => {
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -63,6 +63,7 @@
         latencyObjective: 5,
         maxAttempts: 3,
         priority: 0,
+        isPublic: false,
         targets: [{ service: 's', weight: 9 }],
       },
     ]);
@@ -75,6 +76,37 @@
     expect(config.unsafeCoerce().hosts.get('h')?.[0]?.kind).toEqual('unsafe');
   });
 
+  it('finds the workspace of each key, and reads a rate of 0 as no limit', () => {
+    const tenants = [
+      { name: 'w1', apiKeys: ['k1', 'k2'], priority: 0, ratePerS: 5, burst: 7 },
+      { name: 'w2', apiKeys: ['k3'], ratePerS: 0 },
+      { name: 'w3', apiKeys: [] },
+    ];
+    const { workspacesByKey } = decodeConfig(json({ ...CONFIG, tenants })).unsafeCoerce();
+    const first = { name: 'w1', priority: 0, quota: { rate: 5, burst: 7 } };
+    expect([...(workspacesByKey ?? [])]).toEqual([
+      ['k1', first],
+      ['k2', first],
+      ['k3', { name: 'w2', priority: undefined, quota: undefined }],
+    ]);
+  });
+
+  it('looks at no key where the configuration has no workspaces', () => {
+    expect(decodeConfig(json(CONFIG)).unsafeCoerce().workspacesByKey).toEqual(undefined);
+  });
+
+  it('refuses a key of two workspaces, and bad quotas, so that no request runs under a wrong name', () => {
+    const refusal = (...tenants: readonly object[]): unknown =>
+      decodeConfig(json({ ...CONFIG, tenants }))
+        .swap()
+        .unsafeCoerce().field;
+    const one = { name: 'w1', apiKeys: ['k1'] };
+    expect(refusal(one, { name: 'w2', apiKeys: ['k1'] })).toEqual('tenants.apiKeys');
+    expect(refusal({ ...one, ratePerS: -1 })).toEqual('tenants.ratePerS');
+    expect(refusal({ ...one, ratePerS: 1, burst: -1 })).toEqual('tenants.burst');
+    expect(refusal({ ...one, apiKeys: 'k1' })).toEqual('tenants.apiKeys');
+  });
+
   it('names the bad field, and does not throw on arbitrary JSON', () => {
     expect(decodeConfig(Buffer.from('{')).isLeft()).toEqual(true);
     expect(
@@ -250,7 +282,38 @@
     expect(settings.seeds).toEqual(['10.1.0.15']);
     expect(settings.bounds.stopGrace).toEqual(6000);
     expect(settings.store).toEqual({ address: '10.200.1.7', port: 8642 });
-    expect(settings.limits).toEqual({ cores: 1.35, megabitsPerSecond: 7.5 });
+    expect(settings.limits).toEqual({
+      cores: 1.35,
+      megabitsPerSecond: 7.5,
+      memoryBytes: Infinity,
+    });
+  });
+
+  it('reads the bounds of keys and quotas, and binds hosts out of contact only if told to', () => {
+    const boundsOf = (bounds: string): unknown => {
+      const text = FILE.replace(/bounds = .*/, `bounds = [${bounds}]`);
+      return parseSettings('node.toml', text).unsafeCoerce().bounds;
+    };
+    expect(
+      boundsOf(
+        '"strictRevoke=true","revokeMs=5000","quotaWindowS=4","quotaOver=0.2","quotaSlack=9"',
+      ),
+    ).toEqual({
+      ...DEFAULT_BOUNDS,
+      keyRevocationTime: 5000,
+      quotaWindow: 4000,
+      quotaExcessRatio: 0.2,
+      quotaExcessCount: 9,
+    });
+    expect(boundsOf('"strictRevoke=false","revokeMs=5000"')).toEqual(DEFAULT_BOUNDS);
+  });
+
+  it('reads all data centres in the same order on every host', () => {
+    const zones = (text: string): unknown =>
+      parseSettings('node.toml', `${FILE}\n[zones]\n${text}`).unsafeCoerce().dataCentres;
+    expect(zones('b = "r"\na = "r"')).toEqual(['a', 'b']);
+    expect(zones('a = "r"\nb = "r"')).toEqual(['a', 'b']);
+    expect(parseSettings('node.toml', FILE).unsafeCoerce().dataCentres).toEqual([]);
   });
 
   it('uses the default of each bound that the file leaves out', () => {
