--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -130,7 +130,12 @@
 });
 
 /** Returns a configuration with one service and one host, as it stands in the store. */
-export const configOf = (version: number, paths: readonly object[]): object => ({
+export const configOf = (
+  version: number,
+  paths: readonly object[],
+  tenants?: readonly object[],
+): object => ({
+  ...(tenants ? { tenants } : {}),
   version: version.toString(16).padStart(8, '0'),
   services: [{ name: 'shop', healthPath: '/health', maxConnections: 100 }],
   limits: {
@@ -250,8 +255,8 @@
   }
 
   /** Stores a configuration. */
-  configure(version: number, paths: readonly object[]): void {
-    this.store.put('keyed.op', 'config', configOf(version, paths));
+  configure(version: number, paths: readonly object[], tenants?: readonly object[]): void {
+    this.store.put('keyed.op', 'config', configOf(version, paths, tenants));
   }
 
   /** Stores the entry of an upstream. */
