Pass from one reader of the feeds to the next without reads at the store

Cause: a gateway that lost its reader of the feeds read both feeds at the store before it asked the next reader.

Change: the next reader is asked first. The gateway reads at the store if that one sends nothing for 300 ms, if none is left, or if the lost one was silent.

--- a/src/gateway/feed-subscription.ts
+++ b/src/gateway/feed-subscription.ts
@@ -13,6 +13,13 @@
 /** Time in milliseconds after which a reader that failed may be tried again. */
 const RETRY_DELAY_MS: Millis = 1000;
 
+/**
+ * Time in milliseconds within which the next reader should send its first frame after one is lost.
+ * A change of readers would otherwise cost two reads of the store for each of their subscribers.
+ */
+const TAKEOVER_TIMEOUT_MS: Millis = 300;
+const SILENT = 'silent';
+
 /** Functions that a subscription calls. */
 export interface FeedSubscriber {
   /** Returns how far this gateway has read the feeds. */
@@ -47,6 +54,9 @@
   /** Readers that failed lately. */
   private readonly failed = new Set<Incarnation>();
 
+  /** Runs from the loss of a reader until the next one sends a frame, or until `onLost`. */
+  private takeoverTimer: NodeJS.Timeout | undefined;
+
   private closed = false;
 
   constructor(
@@ -89,7 +99,7 @@
     const connection: Connection = {
       reader,
       req,
-      timer: setTimeout(() => this.fail(connection, 'silent'), SILENCE_TIMEOUT_MS),
+      timer: setTimeout(() => this.fail(connection, SILENT), SILENCE_TIMEOUT_MS),
       decoder: new FeedFrameDecoder(),
     };
     this.connection = connection;
@@ -117,7 +127,8 @@
     if (this.hasFrame || frames.length === 0) return;
     this.hasFrame = true;
     this.telemetry.event('feed-reader-connected', { reader: connection.reader.address });
-    this.subscriber.onConnected();
+    if (this.takeoverTimer) this.endTakeover();
+    else this.subscriber.onConnected();
   }
 
   private onFrame(frame: FeedFrame): boolean {
@@ -148,8 +159,22 @@
     if (this.hasFrame) {
       const { address } = connection.reader;
       this.telemetry.event('feed-reader-lost', { reader: address, reason });
-      this.subscriber.onLost();
+      this.takeoverTimer = setTimeout(() => this.giveUpTakeover(), TAKEOVER_TIMEOUT_MS);
     }
+    this.hasFrame = false;
     this.connect();
+    // After a silence, pages may have been missed for too long to wait for another reader.
+    if (reason === SILENT || !this.connection) this.giveUpTakeover();
+  }
+
+  private giveUpTakeover(): void {
+    if (!this.takeoverTimer) return;
+    this.endTakeover();
+    this.subscriber.onLost();
+  }
+
+  private endTakeover(): void {
+    clearTimeout(this.takeoverTimer);
+    this.takeoverTimer = undefined;
   }
 }
--- /dev/null
+++ b/test/gateway/feed-subscription.test.ts
@@ -0,0 +1,118 @@
+import { expect } from 'earl';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { listen } from '../../src/adapters/listen';
+import { FeedRelay } from '../../src/gateway/feed-relay';
+import { FeedSubscription } from '../../src/gateway/feed-subscription';
+import type { Member } from '../../src/model';
+
+import { recordingTelemetry } from './harness';
+
+const ADDRESS = '127.0.0.1';
+/** Time in milliseconds after which a lost reader must have been noticed. */
+const NOTICE_MS = 700;
+
+describe('the subscription to the feeds of another gateway', () => {
+  const closers: (() => void)[] = [];
+  afterEach(() => closers.splice(0).forEach((close) => close()));
+
+  /** Starts a reader that has read one empty page of each feed. */
+  const startReader = async (): Promise<{ readonly reader: Member; readonly stop: () => void }> => {
+    const relay = new FeedRelay(
+      recordingTelemetry(),
+      () => true,
+      () => false,
+    );
+    const page = { isSnapshot: true, items: [], position: 0, from: 0 };
+    relay.publish('config', page);
+    relay.publish('upstreams', page);
+    await listen(relay.server, ADDRESS, 0);
+    closers.push(() => relay.close());
+    const { port } = relay.server.address() as AddressInfo;
+    const reader: Member = {
+      incarnation: `r${port}`,
+      dataCentre: 'takoradi',
+      address: ADDRESS,
+      callerPort: 1,
+      peerPort: port,
+      state: 'alive',
+    };
+    return { reader, stop: () => relay.close() };
+  };
+
+  const subscribe = (): {
+    readonly subscription: FeedSubscription;
+    readonly calls: string[];
+  } => {
+    const calls: string[] = [];
+    const subscription = new FeedSubscription(recordingTelemetry(), {
+      positions: () => [0, 0],
+      onPage: () => true,
+      onConnected: () => calls.push('connected'),
+      onLost: () => calls.push('lost'),
+    });
+    closers.push(() => subscription.close());
+    return { subscription, calls };
+  };
+
+  const until = async (condition: () => boolean): Promise<void> => {
+    for (let i = 0; i < 1000 && !condition(); i++) await sleep(10);
+    expect(condition()).toEqual(true);
+  };
+
+  it('passes to another reader without reads at the store in between', async () => {
+    const first = await startReader();
+    const second = await startReader();
+    const { subscription, calls } = subscribe();
+    subscription.setSource({ kind: 'readers', readers: [first.reader] });
+    await until(() => calls.length === 1);
+    subscription.setSource({ kind: 'readers', readers: [second.reader] });
+    first.stop();
+    await sleep(NOTICE_MS);
+    expect(subscription.isConnected).toEqual(true);
+    expect(calls).toEqual(['connected']);
+  });
+
+  it('passes to the other reader when the stream of the first ends', async () => {
+    const first = await startReader();
+    const second = await startReader();
+    const { subscription, calls } = subscribe();
+    subscription.setSource({ kind: 'readers', readers: [first.reader, second.reader] });
+    await until(() => calls.length === 1);
+    first.stop();
+    await sleep(NOTICE_MS);
+    expect(subscription.isConnected).toEqual(true);
+    expect(calls).toEqual(['connected']);
+  });
+
+  it('has the gateway read at the store at once when no reader is left', async () => {
+    const only = await startReader();
+    const { subscription, calls } = subscribe();
+    subscription.setSource({ kind: 'readers', readers: [only.reader] });
+    await until(() => calls.length === 1);
+    only.stop();
+    await until(() => calls.length === 2);
+    expect(calls).toEqual(['connected', 'lost']);
+  });
+
+  it('has the gateway read at the store if the next reader does not answer in time', async () => {
+    const first = await startReader();
+    const silentServer = createServer(() => {});
+    await listen(silentServer, ADDRESS, 0);
+    closers.push(() => {
+      silentServer.close();
+      silentServer.closeAllConnections();
+    });
+    const { port } = silentServer.address() as AddressInfo;
+    const { subscription, calls } = subscribe();
+    subscription.setSource({ kind: 'readers', readers: [first.reader] });
+    await until(() => calls.length === 1);
+    const silent = { ...first.reader, incarnation: 'silent', peerPort: port };
+    subscription.setSource({ kind: 'readers', readers: [silent] });
+    await until(() => calls.length === 2);
+    expect(calls).toEqual(['connected', 'lost']);
+  });
+});
