Report upstreams compactly, and good responses once a second across data centres

Cause: an observation takes 61 bytes in a message of twelve and 110 alone (version 3, without the headers of UDP), and each owner sends each other one every 250 ms for each upstream.

Change: nodes that announce version 4 get the topic reports: a 32-bit key for each upstream, two or more numbers in a byte, and good responses collected into a count. Owners in the same data centre get them every 250 ms, others every 1,000 ms; a use of an upstream that others are about to take for unused goes at the next tick. Failures, overdue responses and changed limits go to all within 5 ms. A report carries the sender's requests in flight at the upstream, and the most urgent priority that waits or was refused. Older nodes get version 3 as before.

With uses up to 1,250 ms apart the last use that others know of is never older than 1,370 ms (1,500 is when they cover it).

--- /dev/null
+++ b/src/core/evidence/index.ts
@@ -0,0 +1,3 @@
+export * from './service-report';
+export * from './service-reporter';
+export * from './unserved-priorities';
--- a/src/core/placement/choose-upstream.ts
+++ b/src/core/placement/choose-upstream.ts
@@ -15,7 +15,7 @@
  * Time in milliseconds for which a request counts as recent; less than the 2 s window in which
  * `GatewayBounds.floorShare` holds.
  */
-const RECENT_USE_WINDOW_MS: Millis = 1500;
+export const RECENT_USE_WINDOW_MS: Millis = 1500;
 /**
  * Time in milliseconds after a failure for which an upstream does not count toward
  * `GatewayBounds.floorShare`.
--- a/src/core/placement/load-balancer.ts
+++ b/src/core/placement/load-balancer.ts
@@ -90,6 +90,9 @@
 
   private allStats: readonly UpstreamStats[] = [];
 
+  /** The statistics by key, undefined where two have the same; undefined after a change. */
+  private statsByKey: ReadonlyMap<number, UpstreamStats | undefined> | undefined;
+
   /** Number of requests sent since the last one that was used for coverage (`why` is `cover`). */
   private requestsSinceCoverage = 0;
 
@@ -136,6 +139,15 @@
     return this.allStats;
   }
 
+  /** Returns the statistics with this key; undefined if there are none or two. */
+  findByKey(key: number): UpstreamStats | undefined {
+    this.statsByKey ??= this.allStats.reduce(
+      (byKey, stats) => byKey.set(stats.key, byKey.has(stats.key) ? undefined : stats),
+      new Map<number, UpstreamStats | undefined>(),
+    );
+    return this.statsByKey.get(key);
+  }
+
   /**
    * Adds an upstream or updates its entry; a new run under a known id starts with new statistics.
    */
@@ -152,6 +164,7 @@
         ),
       );
     this.allStats = [...this.statsById.values()];
+    this.statsByKey = undefined;
   }
 
   /** Marks an upstream whose registration has lapsed; `put` clears the mark. */
@@ -162,6 +175,7 @@
   remove(id: UpstreamId): void {
     this.statsById.delete(id);
     this.allStats = [...this.statsById.values()];
+    this.statsByKey = undefined;
   }
 
   /**
@@ -243,7 +257,7 @@
   ): readonly TermsChange[] {
     const stats = this.statsById.get(id);
     if (!stats || stats.upstream.born !== born) return [];
-    stats.lastSentAt = Math.max(stats.lastSentAt, now - sentAgo);
+    stats.recordPeerUse(now - sentAgo);
     stats.applyEvidence(evidence, now);
     return limit ? stats.terms.adoptLimit(fromLimitNews(limit, now)) : [];
   }
--- a/src/core/placement/upstream-stats.ts
+++ b/src/core/placement/upstream-stats.ts
@@ -2,6 +2,8 @@
 import { UpstreamTerms } from '../announcements';
 
 import { updateBelief, PRIOR_BELIEF, type FaultBelief, type EvidenceKind } from './fault-model';
+import { PeerLoads, type PeerLoad } from './peer-loads';
+import { upstreamKeyOf } from './upstream-key';
 
 /** Weight, 0 to 1, of the newest latency in the exponential moving average. */
 const NEWEST_LATENCY_WEIGHT = 0.25;
@@ -33,9 +35,18 @@
 export class UpstreamStats {
   belief: FaultBelief = PRIOR_BELIEF;
 
+  /** Identifies the run of the upstream in messages between gateways. */
+  readonly key: number;
+
   /** Latest known time at which any node sent the upstream a request; -Infinity if none did. */
   lastSentAt: Instant = Number.NEGATIVE_INFINITY;
 
+  /** Latest time at which this node sent the upstream a request; -Infinity if it never did. */
+  private lastOwnSentAt: Instant = Number.NEGATIVE_INFINITY;
+
+  /** Latest time at which another node is known to have sent the upstream a request. */
+  private lastPeersSentAt: Instant = Number.NEGATIVE_INFINITY;
+
   /** Time before which the upstream gets no requests. */
   private avoidedUntil: Instant = Number.NEGATIVE_INFINITY;
 
@@ -54,6 +65,8 @@
   /** Number of requests from other nodes that the upstream held at the time `at`. */
   private remoteLoad = { count: 0, at: 0 };
 
+  private readonly peerLoads = new PeerLoads();
+
   constructor(
     private entry: GatewayUpstream,
     /**
@@ -62,13 +75,41 @@
     readonly joinedAt: Instant | undefined,
     /** The terms that the upstream has announced. */
     readonly terms: UpstreamTerms = new UpstreamTerms(entry.id),
-  ) {}
+  ) {
+    this.key = upstreamKeyOf(entry);
+  }
 
   /** The latest entry of the upstream. */
   get upstream(): GatewayUpstream {
     return this.entry;
   }
 
+  /** Latest time at which this node sent the upstream a request; -Infinity if it never did. */
+  get ownSentAt(): Instant {
+    return this.lastOwnSentAt;
+  }
+
+  /** Latest reported time at which another node sent it a request; -Infinity if none is. */
+  get peersSentAt(): Instant {
+    return this.lastPeersSentAt;
+  }
+
+  /** Takes in that another node sent the upstream a request at this time. */
+  recordPeerUse(sentAt: Instant): void {
+    this.lastPeersSentAt = Math.max(this.lastPeersSentAt, sentAt);
+    this.lastSentAt = Math.max(this.lastSentAt, sentAt);
+  }
+
+  /** Takes in how many requests another node, identified by `sender`, has in flight here. */
+  recordPeerLoad(sender: number, inFlight: number, now: Instant): void {
+    this.peerLoads.record(sender, inFlight, now);
+  }
+
+  /** Returns the numbers of requests that other owners report in flight here, with their age. */
+  peerLoad(now: Instant): readonly PeerLoad[] {
+    return this.peerLoads.at(now);
+  }
+
   /** Whether the registration has lapsed; the upstream may be gone, or may register again. */
   get isLapsed(): boolean {
     return this.isRegistrationLapsed;
@@ -101,6 +142,7 @@
   attemptStarted(requestId: string, now: Instant, overdueAt: Instant): void {
     this.inFlightRequests.set(requestId, { startedAt: now, overdueAt });
     this.lastSentAt = now;
+    this.lastOwnSentAt = now;
     this.terms.recordSend(now);
   }
 
--- a/src/gateway/evidence-exchange.ts
+++ b/src/gateway/evidence-exchange.ts
@@ -1,10 +1,12 @@
-import type { TermsChange } from '../core/announcements';
+import { fromLimitNews, type TermsChange } from '../core/announcements';
+import { PeerPriorities, type ServiceReport, type UpstreamReport } from '../core/evidence';
 import type { EvidenceKind, UpstreamStats } from '../core/placement';
 import type { Incarnation, Instant, Member, ServiceName, UpstreamId } from '../model';
 
 import { logTermsChanges } from './announcements';
 import type { GatewayContext } from './context';
-import { DATAGRAM_VERSION } from './datagram';
+import { DATAGRAM_VERSION, readsReports } from './datagram';
+import { ReportSender } from './report-sender';
 import {
   createBeliefMessages,
   decodeBeliefs,
@@ -28,21 +30,29 @@
  * observations as they are made, beliefs and announced limits on request.
  */
 export class EvidenceExchange {
+  /** For owners that read no reports. */
   private readonly outbox: ObservationOutbox;
 
+  private readonly reports: ReportSender;
+
+  private readonly peerPriorities = new Map<ServiceName, PeerPriorities>();
+
   /** For each service that this gateway owns, the other owners that it has asked for beliefs. */
   private readonly askedOwnersByService = new Map<ServiceName, ReadonlySet<Incarnation>>();
 
   constructor(
     private readonly context: GatewayContext,
+    self: Incarnation,
     private readonly link: DatagramLink,
     private readonly service: EvidenceService,
   ) {
     this.outbox = new ObservationOutbox(context.clock, (message) =>
       service
         .otherOwners(message.service)
+        .filter(({ datagramVersion }) => !readsReports(datagramVersion))
         .forEach((owner) => link.send(owner, 'sightings', message)),
     );
+    this.reports = new ReportSender(context, self, link, service);
   }
 
   /** Queues an observation for the other owners; `sentAt` is when its attempt began. */
@@ -53,6 +63,7 @@
     sentAt: Instant,
   ): void {
     this.outbox.add(service, stats, evidence, sentAt);
+    this.reports.add(service, stats, evidence, sentAt);
   }
 
   /** Whether this gateway has asked the other owners of the service since it became one. */
@@ -62,6 +73,7 @@
 
   /** Asks each other owner of a service once for its beliefs; owners are discovered one by one. */
   requestBeliefs(service: ServiceName): void {
+    this.reports.start();
     const { address, port: peerPort } = this.context.settings.listen.peers;
     const asked = this.askedOwnersByService.get(service) ?? new Set();
     const otherOwners = this.service.otherOwners(service);
@@ -79,6 +91,27 @@
   /** Forgets whom this gateway has asked, as it no longer owns the service. */
   forget(service: ServiceName): void {
     this.askedOwnersByService.delete(service);
+    this.peerPriorities.delete(service);
+  }
+
+  /** Returns the most urgent priority that other owners report as waiting or refused. */
+  mostUrgentWaitingAtPeers(service: ServiceName, now: Instant): number | undefined {
+    return this.peerPriorities.get(service)?.mostUrgent(now);
+  }
+
+  /** Takes in a message of topic `reports`. */
+  onReport(report: ServiceReport): void {
+    const scheduler = this.findScheduler(report.service);
+    if (!scheduler) return;
+    const { name, balancer } = scheduler;
+    const now = this.context.clock.now();
+    const priorities = this.peerPriorities.get(name) ?? new PeerPriorities();
+    priorities.record(report.sender, report.unserved, now);
+    this.peerPriorities.set(name, priorities);
+    report.upstreams.forEach((one) => {
+      const stats = balancer.findByKey(one.key);
+      if (stats) this.applyReport(name, stats, report.sender, one);
+    });
   }
 
   /** Takes in a message of topic `sightings`. */
@@ -119,6 +152,31 @@
 
   close(): void {
     this.outbox.close();
+    this.reports.close();
+  }
+
+  /** Returns the scheduler of the service with this key; undefined if there is none or two. */
+  private findScheduler(key: number): ServiceScheduler | undefined {
+    const [found, ...others] = [...this.service.schedulers().values()].filter(
+      (scheduler) => scheduler.key === key,
+    );
+    return others.length === 0 ? found : undefined;
+  }
+
+  private applyReport(
+    service: ServiceName,
+    stats: UpstreamStats,
+    sender: number,
+    { goodCount, failure, sentAgo, inFlight, limit }: UpstreamReport,
+  ): void {
+    const now = this.context.clock.now();
+    stats.recordPeerUse(now - sentAgo);
+    stats.recordPeerLoad(sender, inFlight, now);
+    for (let i = 0; i < goodCount; i++) stats.applyEvidence('good', now);
+    if (failure) stats.applyEvidence(failure, now);
+    if (!limit) return;
+    this.logChanges(service, stats.upstream.id, stats.terms.adoptLimit(fromLimitNews(limit, now)));
+    this.reports.noteKnownLimit(service, stats);
   }
 
   private logChanges(service: ServiceName, id: UpstreamId, changes: readonly TermsChange[]): void {
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -2,6 +2,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
 import { capacityOf, ownersOf, type HostGroup, type HostGroups } from '../core/gateway';
+import type { ServiceReport } from '../core/evidence';
 import { decodeMembershipMessage, Membership, type MembershipEvent } from '../core/membership';
 import type { EvidenceKind, UpstreamStats } from '../core/placement';
 import type { DataCentre, Incarnation, Instant, Member, Millis, ServiceName } from '../model';
@@ -74,6 +75,7 @@
   private readonly handlers: Readonly<Record<PeerTopic, (body: unknown) => void>> = {
     membership: (body) => this.onMembershipMessage(body),
     sightings: (body) => this.evidence.onObservations(body),
+    reports: (body) => this.evidence.onReport(body as ServiceReport),
     beliefs: (body) => this.evidence.onBeliefs(body),
     crashes: (body) => this.crashes.onMessage(body),
     paths: (body) => this.paths.onMessage(body),
@@ -118,7 +120,7 @@
     this.paths = new PathExchange(context, this.incarnation, this.link, () =>
       this.recomputeOwners(),
     );
-    this.evidence = new EvidenceExchange(context, this.link, {
+    this.evidence = new EvidenceExchange(context, this.incarnation, this.link, {
       otherOwners: (name) => this.otherOwners(name),
       schedulers: () => service.schedulers(),
     });
@@ -208,6 +210,14 @@
     this.evidence.report(service, stats, evidence, sentAt);
   }
 
+  /**
+   * Returns the most urgent priority of the service that other owners report as waiting or refused
+   * in the last half second; undefined if none is reported.
+   */
+  mostUrgentWaitingAtPeers(service: ServiceName, now: Instant): number | undefined {
+    return this.evidence.mostUrgentWaitingAtPeers(service, now);
+  }
+
   /**
    * Determines the owners again after a change of the members, routes or upstreams, and asks new
    * owners for their beliefs.
--- a/src/gateway/peer-link.ts
+++ b/src/gateway/peer-link.ts
@@ -49,8 +49,23 @@
   }
 
   send(to: PeerAddress, topic: PeerTopic, body: unknown): void {
+    this.sendToAll([to], topic, body);
+  }
+
+  /** Sends the same message to several gateways, and encodes it once for each of their versions. */
+  sendToAll(peers: readonly PeerAddress[], topic: PeerTopic, body: unknown): void {
     const positions = this.service.feedPositions();
-    const bytes = encodeDatagram({ topic, body, positions }, to.datagramVersion);
+    const encoded = new Map<number | undefined, Buffer>();
+    peers.forEach((to) => {
+      const bytes =
+        encoded.get(to.datagramVersion) ??
+        encodeDatagram({ topic, body, positions }, to.datagramVersion);
+      encoded.set(to.datagramVersion, bytes);
+      this.transmit(to, topic, bytes);
+    });
+  }
+
+  private transmit(to: PeerAddress, topic: PeerTopic, bytes: Buffer): void {
     if (bytes.length > MAX_DATAGRAM_BYTES) this.telemetry.count('datagrams_large', { topic });
     this.socket.send(bytes, to.peerPort, to.address, (err) => {
       if (err) this.telemetry.count('datagrams_unsent', { topic });
--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/service-scheduler.ts
@@ -1,3 +1,4 @@
+import { RefusedPriorities, serviceKeyOf, type UnservedPriority } from '../core/evidence';
 import { WindowedRetryBudget } from '../core/gateway';
 import {
   LoadBalancer,
@@ -108,10 +109,15 @@
 export class ServiceScheduler {
   readonly balancer: LoadBalancer;
 
+  /** Identifies the service in reports to other owners. */
+  readonly key: number;
+
   readonly retryBudget: WindowedRetryBudget;
 
   private readonly queue = new RequestQueue<QueuedPlacement>();
 
+  private readonly refused = new RefusedPriorities();
+
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -123,6 +129,7 @@
     const coverShare = (): number =>
       Math.min(1, context.settings.bounds.floorShare + COVER_MARGIN_RATIO);
     const { dataCentre } = context.settings;
+    this.key = serviceKeyOf(name);
     this.balancer = new LoadBalancer(name, dataCentre, coverShare, context.random, termsSource);
     this.retryBudget = new WindowedRetryBudget(() => context.settings.bounds, context.clock.now());
   }
@@ -132,8 +139,19 @@
     return this.queue.length;
   }
 
+  /** Returns the most urgent priority that waits here or was refused in the last half second. */
+  mostUrgentUnserved(now: Instant): UnservedPriority | undefined {
+    return this.refused.mostUrgent(this.queue.all()[0]?.priority, now);
+  }
+
   /** Chooses an upstream, now or when one has room, and takes a slot there for the request. */
-  place(request: QueueablePlacement, requestId: string): Promise<PlacementResult> {
+  async place(request: QueueablePlacement, requestId: string): Promise<PlacementResult> {
+    const placed = await this.placeOrQueue(request, requestId);
+    if (placed.kind === 'refused') this.refused.record(request.priority, this.context.clock.now());
+    return placed;
+  }
+
+  private placeOrQueue(request: QueueablePlacement, requestId: string): Promise<PlacementResult> {
     const first = this.placeNow(request, requestId);
     if (first) return Promise.resolve(first);
     const now = this.context.clock.now();
