--- a/src/gateway/evidence-exchange.ts
+++ b/src/gateway/evidence-exchange.ts
@@ -43,7 +43,7 @@
   constructor(
     private readonly context: GatewayContext,
     self: Incarnation,
-    private readonly link: DatagramLink,
+    private readonly link: Pick<DatagramLink, 'send' | 'sendToAll'>,
     private readonly service: EvidenceService,
   ) {
     this.outbox = new ObservationOutbox(context.clock, (message) =>
--- a/src/gateway/report-sender.ts
+++ b/src/gateway/report-sender.ts
@@ -74,7 +74,7 @@
   constructor(
     private readonly context: GatewayContext,
     self: Incarnation,
-    private readonly link: DatagramLink,
+    private readonly link: Pick<DatagramLink, 'send' | 'sendToAll'>,
     private readonly service: ReportService,
   ) {
     this.sender = senderKeyOf(self);
