Count the bytes of a request's body when choosing an upstream

Cause: only the mean length of the answers counted as traffic between data centres, so that uploads of 60 KB with short answers went to other data centres for small differences of load.

Change: the body's length is added to the mean length of the answers. The upper bound of that cost is scaled for retryable requests like the cost of a failure; 0.25 was above the 0.23 that a surely faulty upstream costs a retryable request. A full upstream of the own data centre bears the cost of the transfer too while another data centre has a free slot.

--- a/src/core/placement/choose-upstream.ts
+++ b/src/core/placement/choose-upstream.ts
@@ -1,6 +1,6 @@
 import type { Instant, Millis } from '../../model';
 
-import { expectedCost, hasCapacity, hasFreeSlot } from './expected-cost';
+import { expectedCost, hasCapacity, hasFreeSlot, type CostContext } from './expected-cost';
 import { failureProbability, faultProbabilityAt } from './fault-model';
 import type { Placement, PlacementContext, PlacementRequest } from './placement';
 import type { UpstreamStats } from './upstream-stats';
@@ -106,7 +106,7 @@
   best: UpstreamStats,
   ready: readonly UpstreamStats[],
   request: PlacementRequest,
-  context: PlacementContext,
+  context: CostContext,
 ): boolean => {
   const failure = failureProbability(best.belief, context.now);
   const isBad = request.lastResort
@@ -165,12 +165,20 @@
     const next = context.coverageAllowed ? findUpstreamToCover(open, context) : undefined;
     if (next && hasCapacity(next, request, now)) return { kind: 'send', stats: next, why: 'cover' };
   }
+  const costContext = {
+    now,
+    dataCentre: context.dataCentre,
+    hasFreeSlotElsewhere: available.some(
+      (stats) =>
+        stats.upstream.dataCentre !== context.dataCentre && hasFreeSlot(stats, request, now),
+    ),
+  };
   const best = minBy(
     preferRegistered(available, request, now),
-    (stats) => expectedCost(stats, request, context) + MAX_COST_JITTER * context.random(),
+    (stats) => expectedCost(stats, request, costContext) + MAX_COST_JITTER * context.random(),
   );
   if (!best) return { kind: 'full' };
-  if (isWorthWaiting(best, open, request, context)) return { kind: 'full' };
+  if (isWorthWaiting(best, open, request, costContext)) return { kind: 'full' };
   const why =
     failureProbability(best.belief, now) <= MAX_PROVEN_FAILURE_PROBABILITY ? 'proven' : 'trial';
   return { kind: 'send', stats: best, why };
--- a/src/core/placement/expected-cost.ts
+++ b/src/core/placement/expected-cost.ts
@@ -11,12 +11,14 @@
    */
   otherDataCentre: 0.004,
   /**
-   * Cost of each kilobyte (1024 bytes) that an answer carries from another data centre, since that
-   * traffic is paid for.
+   * Cost of each kilobyte (1024 bytes) of a request's or an answer's body that crosses to or from
+   * another data centre, since that traffic is paid for.
    */
   otherDataCentrePerKilobyte: 0.005,
   /**
-   * Upper bound of the cost of bytes from another data centre; a faulty local upstream costs more.
+   * Upper bound of the cost of bytes between data centres; a faulty local upstream costs more. It is
+   * scaled by `retryableFailureFactor` like the cost of a failure, as the cost of a fault that can
+   * be retried is otherwise below this bound.
    */
   otherDataCentreBytesMax: 0.25,
   /**
@@ -39,6 +41,12 @@
   overdueRequest: 0.25,
 } as const;
 
+/** The state of the node and the service that the cost of an upstream depends on. */
+export interface CostContext extends Pick<PlacementContext, 'now' | 'dataCentre'> {
+  /** Whether an upstream of another data centre that may be chosen has a free slot. */
+  readonly hasFreeSlotElsewhere: boolean;
+}
+
 const BYTES_PER_KB = 1024;
 /**
  * Failure probability that lower ones are raised to. An upstream that answered within the last
@@ -86,26 +94,44 @@
   return COST_WEIGHTS.queueDelay * Math.min(1, queueTime(load, slots, meanLatency) / spare);
 };
 
-const otherDataCentreCost = (bytes: number): number =>
-  COST_WEIGHTS.otherDataCentre +
+const failureFactor = ({ retryable }: PlacementRequest): number =>
+  retryable ? COST_WEIGHTS.retryableFailureFactor : 1;
+
+const transferCost = (request: PlacementRequest): number =>
   Math.min(
-    COST_WEIGHTS.otherDataCentreBytesMax,
-    (COST_WEIGHTS.otherDataCentrePerKilobyte * bytes) / BYTES_PER_KB,
+    COST_WEIGHTS.otherDataCentreBytesMax * failureFactor(request),
+    (COST_WEIGHTS.otherDataCentrePerKilobyte * request.meanBytes) / BYTES_PER_KB,
   );
 
+/**
+ * Returns the cost of the upstream's place. A full upstream of the own data centre bears the cost of
+ * the transfer as well while another data centre has a free slot, so that saving the transfer never
+ * makes a request queue.
+ */
+const placeCost = (
+  isLocal: boolean,
+  isFull: boolean,
+  request: PlacementRequest,
+  { hasFreeSlotElsewhere }: CostContext,
+): number => {
+  if (!isLocal) return COST_WEIGHTS.otherDataCentre + transferCost(request);
+  return isFull && hasFreeSlotElsewhere ? transferCost(request) : 0;
+};
+
 /** Returns the cost of sending a request to an upstream now, in units of failure probability. */
 export const expectedCost = (
   stats: UpstreamStats,
   request: PlacementRequest,
-  { now, dataCentre }: PlacementContext,
+  context: CostContext,
 ): number => {
+  const { now, dataCentre } = context;
   const { upstream } = stats;
   const load = stats.load(now, request.meanLatency);
   const failure = Math.max(MIN_FAILURE_PROBABILITY, failureProbability(stats.belief, now));
   return (
-    failure * (request.retryable ? COST_WEIGHTS.retryableFailureFactor : 1) +
+    failure * failureFactor(request) +
     queueDelayCost(load, upstream.slots, request) +
-    (upstream.dataCentre === dataCentre ? 0 : otherDataCentreCost(request.meanBytes)) +
+    placeCost(upstream.dataCentre === dataCentre, load >= upstream.slots, request, context) +
     (COST_WEIGHTS.fullLoad * load) / upstream.slots +
     COST_WEIGHTS.excessLatency * Math.max(0, stats.latencyRatio - 1) +
     (now < upstream.warmedUpAt ? COST_WEIGHTS.warmingUp : 0) +
--- a/src/core/placement/placement.ts
+++ b/src/core/placement/placement.ts
@@ -7,7 +7,7 @@
 export interface PlacementRequest {
   /** Whether the request may be sent again after a failed attempt. */
   readonly retryable: boolean;
-  /** Mean length in bytes of the answer bodies on the request's route. */
+  /** Length in bytes of the request's body plus the mean length of its route's answer bodies. */
   readonly meanBytes: number;
   /** Mean latency in milliseconds of the answers on the request's route. */
   readonly meanLatency: Millis;
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -268,7 +268,7 @@
     return {
       retryable: this.idempotent && this.runs + 1 < this.maxRuns,
       tried: this.tried,
-      meanBytes: this.scheduler.balancer.meanBytes(this.route.name),
+      meanBytes: this.request.body.length + this.scheduler.balancer.meanBytes(this.route.name),
       meanLatency,
       objective: arrivedAt + this.route.latencyObjective - now,
       remaining: this.deadline - now,
