Learn how many requests an upstream queues before it rejects work

Cause: gateways queued up to 10 requests beyond the slots of any upstream. Upstreams that reject beyond 8 rejected a sixth of the requests sent to them in overload, each of which costs a retry.

Change: QueueLimit chooses the queue length that explains best which requests were accepted and which rejected (503, not run), at the load reported with the answer or else estimated when the request was sent. It starts from the service's limit, changes only on several refusals, forgets within about half a minute and tries one more request after 15 s without evidence beyond the limit. 10 stays the start and the upper limit. Refusals at lengths at which other requests are accepted count as a background ratio and don't lower the limit; neither do refusals with a free slot, or an upstream that refuses everything.

Ruled out: lowering the limit by one at each refusal, as upstreams that reject half of all requests for some seconds would bring it to 0.

--- a/src/core/placement/expected-cost.ts
+++ b/src/core/placement/expected-cost.ts
@@ -54,11 +54,6 @@
  * them.
  */
 const MIN_FAILURE_PROBABILITY = 0.08;
-/**
- * Number of requests beyond its slots that an upstream may hold; it stays below the queue length at
- * which upstreams shed.
- */
-const MAX_QUEUED_COUNT = 10;
 /** Ratio of the time to the deadline that a request may spend queued at an upstream. */
 const MAX_QUEUE_TIME_RATIO = 0.4;
 /** Returns the time in milliseconds that a request would wait for a slot at an upstream. */
@@ -81,7 +76,9 @@
   const { slots } = stats.upstream;
   const load = stats.load(now, request.meanLatency);
   const wait = queueTime(load, slots, request.meanLatency);
-  return load < slots + MAX_QUEUED_COUNT && wait <= MAX_QUEUE_TIME_RATIO * request.remaining;
+  return (
+    load < slots + stats.queueLimit.limit(now) && wait <= MAX_QUEUE_TIME_RATIO * request.remaining
+  );
 };
 
 /** Returns the cost of queueing for a slot at an upstream, in units of failure probability. */
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -1,4 +1,5 @@
 export * from './fault-model';
+export * from './queue-limit';
 export * from './upstream-stats';
 export * from './placement';
 export * from './expected-cost';
--- a/src/core/placement/load-balancer.ts
+++ b/src/core/placement/load-balancer.ts
@@ -19,6 +19,7 @@
 import { chooseUpstream } from './choose-upstream';
 import { faultProbabilityAt, PRIOR_BELIEF, type EvidenceKind } from './fault-model';
 import type { Placement, PlacementRequest } from './placement';
+import { QueueLimit } from './queue-limit';
 import { UpstreamStats } from './upstream-stats';
 
 /** Latency and body length of one answer, or their means over a route's answers. */
@@ -95,6 +96,9 @@
 
   private lastPlacedAt: Instant = Number.NEGATIVE_INFINITY;
 
+  /** The queue limit that those of the service's upstreams start from. */
+  private readonly queueLimit = new QueueLimit();
+
   /** Mean answers by route name, since the requests of one route are alike. */
   private readonly meansByRoute = new Map<string, AnswerStats>();
 
@@ -149,6 +153,7 @@
           upstream,
           now - this.lastPlacedAt > ACTIVE_SERVICE_WINDOW_MS ? undefined : now,
           this.termsSource.termsOf(upstream),
+          new QueueLimit(this.queueLimit),
         ),
       );
     this.allStats = [...this.statsById.values()];
--- a/src/core/placement/upstream-stats.ts
+++ b/src/core/placement/upstream-stats.ts
@@ -1,6 +1,7 @@
 import type { GatewayUpstream, Instant, Millis } from '../../model';
 import { UpstreamTerms } from '../announcements';
 
+import { QueueLimit } from './queue-limit';
 import { updateBelief, PRIOR_BELIEF, type FaultBelief, type EvidenceKind } from './fault-model';
 
 /** Weight, 0 to 1, of the newest latency in the exponential moving average. */
@@ -22,11 +23,21 @@
   | { readonly kind: 'evidence'; readonly evidence: EvidenceKind }
   | { readonly kind: 'busy' | 'unreachable' | 'none' };
 
+/** The numbers of requests at an upstream, as it reports them. */
+export interface ReportedLoad {
+  readonly running: number;
+  readonly waiting: number;
+}
+
 /** A request sent to an upstream that has not ended. */
 interface InFlightRequest {
   readonly startedAt: Instant;
   /** Time from which the answer is overdue, which is the only sign of an upstream that hangs. */
   readonly overdueAt: Instant;
+  /** Estimated position in the upstream's queue when it was sent; 0 or less if a slot was free. */
+  readonly level: number;
+  /** The same, counting only this node's requests. */
+  readonly ownLevel: number;
 }
 
 /** Statistics that one node keeps of one run of an upstream. */
@@ -62,6 +73,8 @@
     readonly joinedAt: Instant | undefined,
     /** The terms that the upstream has announced. */
     readonly terms: UpstreamTerms = new UpstreamTerms(entry.id),
+    /** The number of requests that the upstream queues before it rejects work. */
+    readonly queueLimit: QueueLimit = new QueueLimit(),
   ) {}
 
   /** The latest entry of the upstream. */
@@ -98,8 +111,17 @@
     return this.inFlightRequests.size + count * Math.exp(-(now - at) / Math.max(1, meanLatency));
   }
 
-  attemptStarted(requestId: string, now: Instant, overdueAt: Instant): void {
-    this.inFlightRequests.set(requestId, { startedAt: now, overdueAt });
+  /** Records a request sent now; `meanLatency` is that of its route. */
+  attemptStarted(
+    requestId: string,
+    now: Instant,
+    overdueAt: Instant,
+    meanLatency: Millis = 0,
+  ): void {
+    const { slots } = this.entry;
+    const level = this.load(now, meanLatency) + 1 - slots;
+    const ownLevel = this.inFlightRequests.size + 1 - slots;
+    this.inFlightRequests.set(requestId, { startedAt: now, overdueAt, level, ownLevel });
     this.lastSentAt = now;
     this.terms.recordSend(now);
   }
@@ -117,6 +139,34 @@
     this.inFlightRequests.delete(requestId);
   }
 
+  /**
+   * Learns from whether the upstream took one of this node's requests in flight. Where it reports
+   * its load, that replaces the estimate at the time of sending.
+   */
+  recordTaken(
+    requestId: string,
+    refused: boolean,
+    reported: ReportedLoad | undefined,
+    now: Instant,
+  ): void {
+    const sent = this.inFlightRequests.get(requestId);
+    if (!sent) return;
+    this.queueLimit.record({ level: this.queueLevel(sent, refused, reported), refused }, now);
+  }
+
+  private queueLevel(
+    sent: InFlightRequest,
+    refused: boolean,
+    reported: ReportedLoad | undefined,
+  ): number {
+    if (!reported) return sent.level;
+    // The report with a refusal leaves out the refused request; with an answer, it shows requests
+    // that were queued since.
+    return refused
+      ? reported.running + reported.waiting + 1 - this.entry.slots
+      : Math.max(reported.waiting, sent.ownLevel);
+  }
+
   /** Records the numbers of requests, this node's included, that the upstream reports. */
   recordReportedLoad(running: number, waiting: number, now: Instant): void {
     const count = Math.max(0, running + waiting - this.inFlightRequests.size);
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -56,10 +56,13 @@
 /** Number of decimals of a probability in a log line. */
 const PROBABILITY_DECIMALS = 3;
 
+/** Status by which an upstream rejects work; other refusals don't depend on its queue. */
+const SERVICE_UNAVAILABLE = 503;
+
 /** Updates the state of an upstream by the result of an attempt that took `took` milliseconds. */
 const recordResult = (
   { clock, headerConventions, reportObservation }: RequestContext,
-  { scheduler, route, stats }: UpstreamAttempt,
+  { request, scheduler, route, stats }: UpstreamAttempt,
   outcome: AttemptOutcome,
   result: ExchangeResult,
   took: Millis,
@@ -77,6 +80,9 @@
     balancer.recordAnswer(stats, route.name, { latency: took, bytes });
   }
   const load = headerConventions.parseLoad((name) => headerOf(head.rawHeaders, name));
+  const refused = outcome.kind === 'not-run' && head.status === SERVICE_UNAVAILABLE;
+  if (refused || outcome.kind === 'served' || outcome.kind === 'failed')
+    stats.recordTaken(request.id, refused, load, now);
   if (load) stats.recordReportedLoad(load.running, load.waiting, now);
 };
 
--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/service-scheduler.ts
@@ -227,6 +227,7 @@
           requestId,
           now,
           now + this.balancer.overdueAfter(request.route),
+          request.meanLatency,
         );
         return placement;
       case 'none':
