--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -1,6 +1,7 @@
 export * from './fault-model';
 export * from './upstream-key';
 export * from './peer-loads';
+export * from './queue-limit';
 export * from './upstream-stats';
 export * from './placement';
 export * from './expected-cost';
