Order the queue of a service fairly among workspaces

Cause: the queue of a gateway knew priority and age only, so that one workspace with many requests went before all others of its priority, and less urgent requests got nothing under long overload. An arriving request was also placed before queued ones when a slot had become free by time alone.

Change: within a priority the queue uses the start-time fair queueing of src/core/admission, made generic over its items. A priority or workspace below 0.3 of the mean share of started requests goes first (MinimumShares; a quarter is promised). Minimum shares hold only where requests have workspaces. The queue is drained before an arriving request is placed, at most every 5 ms.

Without workspaces the order of 60 requests is that by priority and age.

--- a/src/core/admission/admission.ts
+++ b/src/core/admission/admission.ts
@@ -2,6 +2,7 @@
 
 import {
   notRunOutcome,
+  type CallId,
   type Instant,
   type Millis,
   type NotRunReason,
@@ -10,10 +11,9 @@
 
 import { randomUnit } from './random-unit';
 import { FairQueue } from './fair-queue';
-import type { QueuedAttempt } from './flow';
 import { ServiceTime } from './service-time';
 import { Slots } from './slots';
-import type { AdmissionEffect, AdmissionEvent, Offer } from './types';
+import type { AdmissionEffect, AdmissionEvent, Offer, QueuedAttempt } from './types';
 
 /** Minimum time in milliseconds between checks of the queue outside of ticks. */
 const SWEEP_INTERVAL_MS: Millis = 10;
@@ -32,6 +32,10 @@
 /** Ratio of the largest random extension of a retry-after time to that time. */
 const RETRY_AFTER_SPREAD_RATIO = 0.5;
 
+/** Creates an empty queue of attempts, which their calls identify. */
+export const createAttemptQueue = (): FairQueue<QueuedAttempt, CallId> =>
+  new FairQueue(({ offer: { callId: id, workspace, weight } }) => ({ id, workspace, weight }));
+
 export interface AdmissionOptions {
   /** Maximum number of queued attempts for each slot of the listed upstreams. */
   readonly queuePerSlot: number;
@@ -46,7 +50,7 @@
 export class Admission {
   private readonly slots: Slots;
 
-  private readonly queue = new FairQueue();
+  private readonly queue = createAttemptQueue();
 
   private readonly serviceTime = new ServiceTime();
 
@@ -136,7 +140,7 @@
       this.refuse(offer, 'wait-exceeds-deadline', lateBy, effects);
       return;
     }
-    if (this.makeRoom(offer, wait, effects)) this.queue.add({ offer, startBy }, isRepeat);
+    if (this.makeRoom(offer, wait, effects)) this.queue.add({ offer, startBy }, () => isRepeat);
   }
 
   /**
--- a/src/core/admission/fair-queue.ts
+++ b/src/core/admission/fair-queue.ts
@@ -1,21 +1,30 @@
-import type { CallId, WorkspaceName } from '../../model';
+import type { WorkspaceName } from '../../model';
 
-import { Flow, type QueuedAttempt } from './flow';
+import { Flow } from './flow';
 import { Heap } from './heap';
 
 /** Number of starts by other workspaces during which an idle workspace still counts as active. */
 const ACTIVE_WINDOW_START_COUNT = 256;
 
+/** What a fair queue needs to know of an item. */
+export interface FairQueueTag<Id> {
+  /** Identifies the item in the queue. */
+  readonly id: Id;
+  readonly workspace: WorkspaceName;
+  /** Weight of the workspace relative to the others; above 0. */
+  readonly weight: number;
+}
+
 /**
- * Start-time fair queueing between workspaces by weight, first come first served within one.
- * Virtual time advances by the start tag of each item taken.
+ * Start-time fair queueing between workspaces by weight, in order of addition within one unless
+ * `add` is told otherwise. Virtual time advances by the start tag of each item taken.
  */
-export class FairQueue {
-  private readonly flows = new Map<WorkspaceName, Flow>();
+export class FairQueue<Item, Id> {
+  private readonly flows = new Map<WorkspaceName, Flow<Item>>();
 
-  private readonly heap = new Heap<Flow>((flow) => flow.tag);
+  private readonly heap = new Heap<Flow<Item>>((flow) => flow.tag);
 
-  private readonly flowByCallId = new Map<CallId, Flow>();
+  private readonly flowById = new Map<Id, Flow<Item>>();
 
   private virtualTime = 0;
 
@@ -23,12 +32,14 @@
 
   private totalWeight = 0;
 
+  constructor(private readonly tagOf: (item: Item) => FairQueueTag<Id>) {}
+
   get size(): number {
-    return this.flowByCallId.size;
+    return this.flowById.size;
   }
 
-  has(callId: CallId): boolean {
-    return this.flowByCallId.has(callId);
+  has(id: Id): boolean {
+    return this.flowById.has(id);
   }
 
   /** Returns the number of queued items of a workspace. */
@@ -36,23 +47,26 @@
     return this.flows.get(workspace)?.items.length ?? 0;
   }
 
-  /** Adds an item at the end of its workspace's flow, or at its head. */
-  add(item: QueuedAttempt, atHead: boolean): void {
-    const { workspace, weight, callId } = item.offer;
+  /**
+   * Adds an item to its workspace's flow, before the first one for which `goesBefore` holds, or
+   * else at the end.
+   */
+  add(item: Item, goesBefore: (queued: Item) => boolean = () => false): void {
+    const { workspace, weight, id } = this.tagOf(item);
     const flow = this.flows.get(workspace) ?? this.openFlow(workspace, weight);
     if (flow.items.length === 0) {
       this.totalWeight += weight - flow.weight;
       flow.resume(weight, this.virtualTime, this.starts);
       this.heap.push(flow);
     }
-    flow.add(item, atHead);
-    this.flowByCallId.set(callId, flow);
+    flow.add(item, goesBefore);
+    this.flowById.set(id, flow);
   }
 
   /** Removes and returns the next item in order that `accepts` allows; others keep their order. */
-  take(accepts: (item: QueuedAttempt) => boolean): QueuedAttempt | undefined {
-    const passed: Flow[] = [];
-    let taken: QueuedAttempt | undefined;
+  take(accepts: (item: Item) => boolean): Item | undefined {
+    const passed: Flow<Item>[] = [];
+    let taken: Item | undefined;
     while (!taken) {
       const flow = this.heap.pop();
       if (!flow) break;
@@ -64,12 +78,28 @@
     return taken;
   }
 
+  /** Like `take`, for the items of one workspace, whose turn it need not be. */
+  takeFrom(workspace: WorkspaceName, accepts: (item: Item) => boolean): Item | undefined {
+    const flow = this.flows.get(workspace);
+    const index = flow?.items.findIndex(accepts) ?? -1;
+    if (!flow || index < 0) return undefined;
+    this.heap.remove(flow);
+    return this.startItem(flow, index);
+  }
+
+  /** Returns the workspaces that have queued items. */
+  queuedWorkspaces(): readonly WorkspaceName[] {
+    return [...this.flows.values()]
+      .filter(({ items }) => items.length > 0)
+      .map(({ workspace }) => workspace);
+  }
+
   /** Removes an item without a start; returns undefined if it is not queued. */
-  remove(callId: CallId): QueuedAttempt | undefined {
-    const flow = this.flowByCallId.get(callId);
+  remove(id: Id): Item | undefined {
+    const flow = this.flowById.get(id);
     if (!flow) return undefined;
-    const item = flow.remove(callId);
-    this.flowByCallId.delete(callId);
+    const item = flow.remove((queued) => this.tagOf(queued).id === id);
+    this.flowById.delete(id);
     if (flow.items.length === 0) this.heap.remove(flow);
     return item;
   }
@@ -91,9 +121,9 @@
   }
 
   /** Returns the newest item of the workspace with the most queued items for its weight. */
-  newestOfLargestFlow(): QueuedAttempt | undefined {
+  newestOfLargestFlow(): Item | undefined {
     let mostHeld = 0;
-    let newest: QueuedAttempt | undefined;
+    let newest: Item | undefined;
     this.flows.forEach(({ items, weight }) => {
       const held = items.length / weight;
       if (held <= mostHeld) return;
@@ -104,7 +134,7 @@
   }
 
   /** Yields every queued item with its position in its workspace's flow; position 0 is first. */
-  *positions(): Generator<readonly [item: QueuedAttempt, position: number]> {
+  *positions(): Generator<readonly [item: Item, position: number]> {
     for (const { items } of this.flows.values())
       for (const [position, item] of items.entries()) yield [item, position];
   }
@@ -121,19 +151,19 @@
     if (this.flows.size === 0) this.totalWeight = 0;
   }
 
-  private openFlow(workspace: WorkspaceName, weight: number): Flow {
-    const flow = new Flow(workspace, weight, this.virtualTime);
+  private openFlow(workspace: WorkspaceName, weight: number): Flow<Item> {
+    const flow = new Flow<Item>(workspace, weight, this.virtualTime);
     this.totalWeight += weight;
     this.flows.set(workspace, flow);
     return flow;
   }
 
   /** Removes an item from a flow that was popped from the heap, and pushes the flow back. */
-  private startItem(flow: Flow, index: number): QueuedAttempt | undefined {
+  private startItem(flow: Flow<Item>, index: number): Item | undefined {
     this.virtualTime = Math.max(this.virtualTime, flow.tag);
     this.starts += 1;
     const item = flow.start(index, this.starts);
-    if (item) this.flowByCallId.delete(item.offer.callId);
+    if (item) this.flowById.delete(this.tagOf(item).id);
     if (flow.items.length > 0) this.heap.push(flow);
     return item;
   }
--- a/src/core/admission/flow.ts
+++ b/src/core/admission/flow.ts
@@ -1,22 +1,13 @@
-import type { CallId, Instant, WorkspaceName } from '../../model';
-
-import type { Offer } from './types';
+import type { WorkspaceName } from '../../model';
 
 /** Weight of the newest start, 0 to 1, in the moving average of a flow's share of starts. */
 const START_SHARE_GAIN = 1 / 64;
 /** Minimum number of starts by all workspaces before a flow's share is measured. */
 const MIN_MEASURED_START_COUNT = 16;
 
-/** A queued attempt. */
-export interface QueuedAttempt {
-  readonly offer: Offer;
-  /** Latest start from which the attempt is expected to end before its deadline. */
-  readonly startBy: Instant;
-}
-
 /** The queue of one workspace within a fair queue, first come first served. */
-export class Flow {
-  private readonly queue: QueuedAttempt[] = [];
+export class Flow<Item> {
+  private readonly queue: Item[] = [];
 
   private startShare = 0;
 
@@ -30,7 +21,7 @@
     private startTag: number,
   ) {}
 
-  get items(): readonly QueuedAttempt[] {
+  get items(): readonly Item[] {
     return this.queue;
   }
 
@@ -52,18 +43,20 @@
     this.lastStart = starts;
   }
 
-  add(item: QueuedAttempt, atHead: boolean): void {
-    if (atHead) this.queue.unshift(item);
-    else this.queue.push(item);
+  /** Adds an item before the first one for which `goesBefore` holds, or else at the end. */
+  add(item: Item, goesBefore: (queued: Item) => boolean): void {
+    const index = this.queue.findIndex(goesBefore);
+    this.queue.splice(index < 0 ? this.queue.length : index, 0, item);
   }
 
-  remove(callId: CallId): QueuedAttempt | undefined {
-    const index = this.queue.findIndex(({ offer }) => offer.callId === callId);
+  /** Removes the first item for which `matches` holds. */
+  remove(matches: (queued: Item) => boolean): Item | undefined {
+    const index = this.queue.findIndex(matches);
     return index < 0 ? undefined : this.queue.splice(index, 1)[0];
   }
 
   /** Removes the item at this index; `starts` counts the starts of all workspaces, including it. */
-  start(index: number, starts: number): QueuedAttempt | undefined {
+  start(index: number, starts: number): Item | undefined {
     this.startTag += 1 / this.ownWeight;
     this.startShare = this.decayedShare(starts) + START_SHARE_GAIN;
     this.lastStart = starts;
--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -1,2 +1,3 @@
 export * from './types';
+export { FairQueue, type FairQueueTag } from './fair-queue';
 export { Admission, type AdmissionOptions } from './admission';
--- a/src/core/admission/types.ts
+++ b/src/core/admission/types.ts
@@ -13,6 +13,13 @@
   readonly mayWait?: boolean | undefined;
 }
 
+/** A queued attempt. */
+export interface QueuedAttempt {
+  readonly offer: Offer;
+  /** Latest start from which the attempt is expected to end before its deadline. */
+  readonly startBy: Instant;
+}
+
 /** The slots of an upstream and the share of them, 0 to 1, that its health allows. */
 export interface UpstreamCapacity {
   readonly id: UpstreamId;
--- a/src/core/waiting/index.ts
+++ b/src/core/waiting/index.ts
@@ -1,1 +1,2 @@
+export * from './minimum-shares';
 export * from './request-queue';
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -274,6 +274,7 @@
       remaining: this.deadline - now,
       lastResort: false,
       priority: this.request.workspace?.priority ?? this.route.priority,
+      workspace: this.request.workspace?.name,
       arrivedAt: now,
       startBy: Math.max(
         inObjective,
--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/service-scheduler.ts
@@ -2,14 +2,14 @@
 import {
   LoadBalancer,
   type Placement,
-  type PlacementRequest,
   type TermsSource,
   type UpstreamStats,
 } from '../core/placement';
-import { RequestQueue, type QueuedRequest } from '../core/waiting';
+import { RequestQueue, type ServiceCapacity } from '../core/waiting';
 import type { GatewayUpstream, Instant, Millis, ServiceName, UpstreamId } from '../model';
 
 import type { GatewayContext } from './context';
+import { QueuedPlacement, type PlacementResult, type QueueablePlacement } from './queued-placement';
 
 /**
  * Interval in milliseconds at which the queue is drained in addition to whenever a slot is freed.
@@ -26,81 +26,15 @@
 /** Retry-After in milliseconds where the limits of all upstreams are left to other hosts. */
 const OTHER_HOSTS_RETRY_AFTER_MS: Millis = 1000;
 
+/**
+ * Time in milliseconds after a drain of the queue within which an arriving request is placed
+ * without another one; each try costs a choice among all upstreams.
+ */
+const MIN_DRAIN_INTERVAL_MS: Millis = 5;
+
 /** Number of queued requests that may fail to be placed before a drain of the queue stops. */
 const MAX_FAILED_PLACEMENT_COUNT = 3;
 
-/** A request to be placed at an upstream, with what it needs to be queued. */
-export interface QueueablePlacement extends PlacementRequest, QueuedRequest {
-  /** Aborted when the caller leaves. */
-  readonly signal: AbortSignal;
-  /** Name of the route; latencies and answer sizes are averaged by route. */
-  readonly route: string;
-}
-
-/** The upstream chosen for a request, or the reason why there is none. */
-export type PlacementResult =
-  | Extract<Placement, { kind: 'send' }>
-  | { readonly kind: 'none' }
-  | {
-      readonly kind: 'refused';
-      /** `held-back` if the upstreams' announcements allow no request before `retryAfter`. */
-      readonly why: 'no-room' | 'held-back';
-      readonly retryAfter: Millis;
-      readonly waited: Millis;
-    }
-  | { readonly kind: 'cancelled' };
-
-/** Functions of the scheduler that a queued request calls. */
-interface QueuedPlacementPorts {
-  /** Tries to place the request; undefined if it has to go on waiting. */
-  attempt(): PlacementResult | undefined;
-  /** Places the request even at an upstream for which it would rather wait, or refuses it. */
-  lastResort(): PlacementResult;
-  /** Takes the request off the queue and delivers its result. */
-  settle(placed: PlacementResult): void;
-}
-
-/** A request that waits until it is placed, its waiting time is over or its caller leaves. */
-class QueuedPlacement implements QueuedRequest {
-  readonly priority: number;
-
-  readonly arrivedAt: Instant;
-
-  readonly startBy: Instant;
-
-  constructor(
-    private readonly request: QueueablePlacement,
-    private readonly ports: QueuedPlacementPorts,
-  ) {
-    ({ priority: this.priority, arrivedAt: this.arrivedAt, startBy: this.startBy } = request);
-    request.signal.addEventListener('abort', this.onAbort, { once: true });
-  }
-
-  /** Tries to place the request; returns true if it no longer waits. */
-  attempt(): boolean {
-    const placed = this.ports.attempt();
-    if (placed) this.settle(placed);
-    return placed !== undefined;
-  }
-
-  /** Ends the waiting because `startBy` has passed. */
-  expire(): void {
-    this.settle(this.ports.lastResort());
-  }
-
-  /** Ends the waiting without an upstream. */
-  abandon(): void {
-    this.settle({ kind: 'none' });
-  }
-
-  private readonly onAbort = (): void => this.settle({ kind: 'cancelled' });
-
-  private settle(placed: PlacementResult): void {
-    this.request.signal.removeEventListener('abort', this.onAbort);
-    this.ports.settle(placed);
-  }
-}
-
 /**
  * Schedules the requests of one service: balances them over its upstreams, queues them and limits
  * retries.
@@ -114,6 +48,8 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  private lastDrainAt: Instant = Number.NEGATIVE_INFINITY;
+
   constructor(
     readonly name: ServiceName,
     private readonly context: GatewayContext,
@@ -134,36 +70,28 @@
 
   /** Chooses an upstream, now or when one has room, and takes a slot there for the request. */
   place(request: QueueablePlacement, requestId: string): Promise<PlacementResult> {
-    const first = this.placeNow(request, requestId);
-    if (first) return Promise.resolve(first);
     const now = this.context.clock.now();
-    const load = {
-      slots: this.balancer.slots(now),
-      meanLatency: this.balancer.meanLatency(request.route),
-    };
-    const admission = this.queue.admit(request, load);
+    // The queued requests go first; slots also become free by the passing of time.
+    if (this.queue.length > 0 && now - this.lastDrainAt >= MIN_DRAIN_INTERVAL_MS) this.drainQueue();
+    const first = this.placeNow(request, requestId);
+    if (first) {
+      if (first.kind === 'send') this.queue.recordImmediateStart(request);
+      return Promise.resolve(first);
+    }
+    const admission = this.queue.admit(request, this.capacityFor(request));
     if (admission.kind === 'refuse') {
-      const last = this.placeNow({ ...request, lastResort: true }, requestId);
-      return Promise.resolve(
-        last ?? {
-          kind: 'refused',
-          why: 'no-room',
-          retryAfter: admission.retryAfter,
-          waited: 0,
-        },
-      );
+      return Promise.resolve(this.placeLast(request, requestId, admission.retryAfter));
     }
     return new Promise((resolve) => {
       const queued = new QueuedPlacement(request, {
         attempt: () => this.placeNow(request, requestId),
         lastResort: () =>
-          this.placeNow({ ...request, lastResort: true }, requestId) ?? {
-            kind: 'refused',
-            why: 'no-room',
-            retryAfter: this.queue.expectedWait(request.priority, load, this.context.clock.now()),
-            waited: this.context.clock.now() - now,
-          },
-        settle: (placed) => {
+          this.placeLast(
+            request,
+            requestId,
+            this.queue.expectedWait(request, this.capacityFor(request), this.context.clock.now()),
+          ),
+        leave: (placed) => {
           this.queue.remove(queued);
           resolve(placed);
         },
@@ -173,13 +101,46 @@
     });
   }
 
+  /** Places a request even at an upstream for which it would rather wait, or refuses it. */
+  private placeLast(
+    request: QueueablePlacement,
+    requestId: string,
+    retryAfter: Millis,
+  ): PlacementResult {
+    const now = this.context.clock.now();
+    const placed = this.placeNow({ ...request, lastResort: true }, requestId);
+    if (placed?.kind === 'send') this.queue.recordStart(request, now);
+    return (
+      placed ?? { kind: 'refused', why: 'no-room', retryAfter, waited: now - request.arrivedAt }
+    );
+  }
+
+  private capacityFor({ route }: QueueablePlacement): ServiceCapacity {
+    return {
+      slots: this.balancer.slots(this.context.clock.now()),
+      meanLatency: this.balancer.meanLatency(route),
+    };
+  }
+
   /** Ends the waiting of expired requests, and places others while there is room. */
   drainQueue(): void {
-    this.queue.removeExpired(this.context.clock.now()).forEach((queued) => queued.expire());
-    let failed = 0;
-    this.queue.all().forEach((queued) => {
-      if (failed < MAX_FAILED_PLACEMENT_COUNT && !queued.attempt()) failed += 1;
-    });
+    const now = this.context.clock.now();
+    this.lastDrainAt = now;
+    this.queue.removeExpired(now).forEach((queued) => queued.expire());
+    const failed = new Set<QueuedPlacement>();
+    let placed: PlacementResult | undefined;
+    const accepts = (queued: QueuedPlacement): boolean => {
+      if (failed.size >= MAX_FAILED_PLACEMENT_COUNT || failed.has(queued)) return false;
+      placed = queued.attempt();
+      if (!placed) failed.add(queued);
+      return placed !== undefined;
+    };
+    for (;;) {
+      const queued = this.queue.take(accepts);
+      if (!queued || !placed) return;
+      if (placed.kind === 'send') this.queue.recordStart(queued, now);
+      queued.settle(placed);
+    }
   }
 
   /** Ends the waiting of all requests with `none`, as this node has no path to the upstreams. */
--- a/test/core/admission/admission.test.ts
+++ b/test/core/admission/admission.test.ts
@@ -8,7 +8,7 @@
   type AdmissionEvent,
   type UpstreamCapacity,
 } from '../../../src/core';
-import { FairQueue } from '../../../src/core/admission/fair-queue';
+import { createAttemptQueue } from '../../../src/core/admission/admission';
 
 type Offered = Extract<AdmissionEvent, { kind: 'offered' }>;
 
@@ -206,9 +206,9 @@
   });
 
   it('predicts starts from the measured share of a flow, even when it is alone in the queue', () => {
-    const queue = new FairQueue();
+    const queue = createAttemptQueue();
     const add = (workspace: string, callId: string): void =>
-      queue.add({ offer: offered(callId, { workspace }), startBy: FAR_DEADLINE_MS }, false);
+      queue.add({ offer: offered(callId, { workspace }), startBy: FAR_DEADLINE_MS });
     for (let call = 0; call < 50; call++) add('big', `big-${call}`);
     for (let round = 0; round < 40; round++) {
       for (let other = 0; other < 9; other++) add(`w${other}`, `w${other}-${round}`);
