Keep retries for more urgent requests while the budget is short

Cause: when all upstreams of a service reject half of all requests, the retry budget of a window is spent within about two and a half seconds by whoever fails first.

Change: WindowedRetryBudget measures the retries that each priority asks for and keeps those that more urgent requests will ask for in the next five seconds. A request that gets no retry ends at once, as before. Hedges keep their half of the budget. Without failing requests of several priorities the budget is as before.

--- a/src/core/gateway/windowed-retry-budget.ts
+++ b/src/core/gateway/windowed-retry-budget.ts
@@ -13,6 +13,17 @@
 /** Ratio of the budget up to which hedges may use it. */
 const HEDGE_BUDGET_RATIO = 0.5;
 
+/**
+ * Time in milliseconds for which the retries of more urgent requests are provided for; upstreams
+ * that reject many requests do so for some seconds.
+ */
+const RESERVED_TIME_MS: Millis = 5000;
+/**
+ * Time constant in milliseconds of the exponential decay of the demand for retries; short, as the
+ * budget of a whole window can be spent in two seconds.
+ */
+const DEMAND_DECAY_TIME_MS: Millis = 1000;
+
 /**
  * What a retry is for: `failed` follows an attempt without a usable answer, `hedge` joins one that
  * is slow and may still succeed.
@@ -42,6 +53,30 @@
   entries.splice(0, keep < 0 ? entries.length : keep);
 };
 
+/** Measures how many retries requests of each priority ask for, granted or not. */
+class RetryDemand {
+  /** Exponentially decayed number of retries asked for, as of `at`, by priority. */
+  private readonly asked = new Map<number, { readonly count: number; readonly at: Instant }>();
+
+  record(priority: number, now: Instant): void {
+    this.asked.set(priority, { count: this.countAt(priority, now) + 1, at: now });
+  }
+
+  /** Returns the recent rate, per millisecond, of retries that more urgent requests ask for. */
+  rateAbove(priority: number, now: Instant): number {
+    let count = 0;
+    this.asked.forEach((_, other) => {
+      if (other < priority) count += this.countAt(other, now);
+    });
+    return count / DEMAND_DECAY_TIME_MS;
+  }
+
+  private countAt(priority: number, now: Instant): number {
+    const { count, at } = this.asked.get(priority) ?? { count: 0, at: now };
+    return count * Math.exp((at - now) / DEMAND_DECAY_TIME_MS);
+  }
+}
+
 /**
  * Limits the retries that one node sends to a service in a sliding window. Load pattern: a third of
  * the upstreams fail and every node retries. The nodes' budgets add up to less than the fleet's
@@ -53,6 +88,8 @@
 
   private readonly retries: TimedEntry[] = [];
 
+  private readonly demand = new RetryDemand();
+
   /** `startedAt` is this node's start; before it, an earlier run may have used its share. */
   constructor(
     private readonly bounds: () => RetryBounds,
@@ -65,24 +102,39 @@
 
   /**
    * Records a retry and returns true if the budget allows one. `sharers` is the number of nodes,
-   * this one included, that share the fixed allowance; 0 if this node has no share. Load pattern:
-   * upstreams turn slow and others fail at the same time; hedges, most of which are not needed,
-   * would leave nothing for requests that fail without a retry.
+   * this one included, that share the fixed allowance; 0 if this node has no share. `priority` is
+   * that of the request; 0 is the most urgent. Load patterns: upstreams turn slow and others fail
+   * at the same time; hedges, most of which are not needed, would leave nothing for requests that
+   * fail without a retry. All upstreams reject half of the requests for some seconds; less urgent
+   * requests would spend the budget before more urgent ones have had their retries.
    */
-  take(sharers: number, now: Instant, purpose: RetryPurpose = 'failed'): boolean {
+  take(sharers: number, now: Instant, purpose: RetryPurpose = 'failed', priority = 0): boolean {
+    dropExpired(this.requests, now - this.bounds().repeatWindow);
+    dropExpired(this.retries, now - this.bounds().repeatWindow);
+    if (purpose === 'failed') this.demand.record(priority, now);
+    if (this.retries.length + 1 > this.limitFor(purpose, priority, this.allowed(sharers, now), now))
+      return false;
+    this.retries.push({ at: now });
+    return true;
+  }
+
+  /** Returns the number of retries that the window may hold. */
+  private allowed(sharers: number, now: Instant): number {
     const { repeatRatio, repeatBase, repeatWindow } = this.bounds();
-    const oldest = now - repeatWindow;
-    dropExpired(this.requests, oldest);
-    dropExpired(this.retries, oldest);
     const baseShare = sharers === 0 ? 0 : (BASE_UTILIZATION_RATIO * repeatBase) / sharers;
     const accruedRatio =
       INITIAL_BASE_RATIO +
       (1 - INITIAL_BASE_RATIO) * Math.min(1, (now - this.startedAt) / repeatWindow);
-    const allowed =
-      RATIO_UTILIZATION * repeatRatio * this.requests.length + baseShare * accruedRatio;
-    const limit = purpose === 'hedge' ? HEDGE_BUDGET_RATIO * allowed : allowed;
-    if (this.retries.length + 1 > limit) return false;
-    this.retries.push({ at: now });
-    return true;
+    return RATIO_UTILIZATION * repeatRatio * this.requests.length + baseShare * accruedRatio;
+  }
+
+  /** Returns the number of retries in the window beyond which this one is not allowed. */
+  private limitFor(purpose: RetryPurpose, priority: number, allowed: number, now: Instant): number {
+    switch (purpose) {
+      case 'hedge':
+        return HEDGE_BUDGET_RATIO * allowed;
+      case 'failed':
+        return allowed - RESERVED_TIME_MS * this.demand.rateAbove(priority, now);
+    }
   }
 }
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -66,6 +66,11 @@
     this.maxRuns = Math.min(route.maxAttempts, request.relayedMaxRuns ?? route.maxAttempts);
   }
 
+  /** The priority of the request's workspace, or else of its route; 0 is the most urgent. */
+  private get priority(): number {
+    return this.request.workspace?.priority ?? this.route.priority;
+  }
+
   /** Makes attempts until there is a reply; may be called once. */
   run(): Promise<GatewayReply> {
     // A request that is relayed counts at the gateway that sends it to an upstream.
@@ -172,7 +177,8 @@
     const { relay, clock, retryBudgetSharers } = this.context;
     const { retryBudget, name } = this.scheduler;
     if (this.request.relayedMaxRuns !== undefined) return undefined;
-    if (!retryBudget.take(retryBudgetSharers(name), clock.now(), purpose)) return undefined;
+    if (!retryBudget.take(retryBudgetSharers(name), clock.now(), purpose, this.priority))
+      return undefined;
     return this.start(async (signal) => {
       const result = await relay.run(this.relayedRequest(signal));
       if (result.kind === 'replied' && result.reply.kind === 'answer') {
@@ -209,6 +215,7 @@
           context.retryBudgetSharers(scheduler.name),
           context.clock.now(),
           purpose,
+          this.priority,
         ),
     );
     return placed?.kind === 'send' ? this.startAttempt(placed.stats, 'hedge') : undefined;
@@ -246,7 +253,12 @@
     if (step.kind === 'end') return this.finalReply(why, NO_UPSTREAM_RETRY_AFTER_MS);
     const isAllowed =
       !step.counted ||
-      this.scheduler.retryBudget.take(this.context.retryBudgetSharers(this.scheduler.name), now);
+      this.scheduler.retryBudget.take(
+        this.context.retryBudgetSharers(this.scheduler.name),
+        now,
+        'failed',
+        this.priority,
+      );
     if (!isAllowed) return this.finalReply('no-repeat-left', NO_UPSTREAM_RETRY_AFTER_MS);
     return undefined;
   }
@@ -273,7 +285,7 @@
       objective: arrivedAt + this.route.latencyObjective - now,
       remaining: this.deadline - now,
       lastResort: false,
-      priority: this.request.workspace?.priority ?? this.route.priority,
+      priority: this.priority,
       workspace: this.request.workspace?.name,
       arrivedAt: now,
       startBy: Math.max(
