Have the hosts with the largest links read the feeds for the others

Ruled out: a silent store (other hosts read on), a slow process (0.2 s between the lines).

Change: readers are the hosts of the highest capacity; equal ones are drawn as before.

--- a/src/core/gateway/feed-readers.ts
+++ b/src/core/gateway/feed-readers.ts
@@ -16,7 +16,12 @@
     .sort((a, b) => a.rank - b.rank || (a.member.incarnation < b.member.incarnation ? -1 : 1))
     .map(({ member }) => member);
 
-/** Returns the members of a data centre that read the feeds for the others, by rendezvous hashing. */
+/**
+ * Returns the members of a data centre that read the feeds for the others: those of the highest
+ * capacity, by rendezvous hashing among equals. Load pattern: a configuration of hundreds of
+ * kilobytes changes, and a reader sends it to dozens of others; over a small host's link that takes
+ * seconds, in which the reader gets no answers of the store either.
+ */
 export const feedReadersOf = (
   members: readonly Member[],
   dataCentre: DataCentre,
@@ -24,7 +29,9 @@
   byRank(
     members.filter((member) => member.state === 'alive' && member.dataCentre === dataCentre),
     READER_RANKING,
-  ).slice(0, READERS_PER_DATA_CENTRE_COUNT);
+  )
+    .toSorted((a, b) => (b.capacity ?? 0) - (a.capacity ?? 0))
+    .slice(0, READERS_PER_DATA_CENTRE_COUNT);
 
 /**
  * Returns where a member reads the feeds. Load pattern: hundreds of hosts of which few carry
