Refuse requests with keys without a recent proof of the keys

Cause: a host that the store no longer reaches ran requests under keys that had been revoked, for as long as it was cut off.

Change: where the configuration has workspaces and keyRevocationTime is set, each host serves requests with keys only while its latest proof is younger than 0.8 of that time. Proofs come from own reads of the configuration, which wait about 1 s, and from peers by datagrams of topic freshness, which are sent only while requests with keys arrive. Without a proof the host refuses with 503, its directory names others, and public routes are served. Pages tell whether the store had more. Failed reads of a reader are repeated 250 ms after their start while keys depend on them.

Ruled out: beats of the readers' streams as proof, which may wait in the buffers of a frozen host; long waits counted up to their end, as a store that answers early would make the proof too young by more than the rest of the bound.

--- a/src/gateway/feed-subscription.ts
+++ b/src/gateway/feed-subscription.ts
@@ -59,6 +59,11 @@
     return this.connection !== undefined && this.hasFrame;
   }
 
+  /** The reader that pages come from, if any. */
+  get reader(): Incarnation | undefined {
+    return this.isConnected ? this.connection?.reader.incarnation : undefined;
+  }
+
   /** Sets where to read; a connection to one of the readers is kept. */
   setSource(source: FeedSource): void {
     this.source = source;
--- a/src/gateway/feeds.ts
+++ b/src/gateway/feeds.ts
@@ -8,7 +8,7 @@
 import type { FeedName } from './feed-frames';
 import { FeedRelay } from './feed-relay';
 import { FeedSubscription } from './feed-subscription';
-import { Follower, type ReadTiming } from './follower';
+import { Follower, type AppliedRead, type FollowerOptions, type ReadTiming } from './follower';
 import type { FeedPositions } from './datagram';
 
 /**
@@ -42,12 +42,25 @@
  */
 const PEER_GRACE_MS: Millis = 300;
 
+/**
+ * Part of the longest wait of reads that prove the keys which is drawn at random, so that the
+ * readers' reads spread.
+ */
+const PROOF_WAIT_JITTER_RATIO = 0.2;
+
 /** Receivers of the pages, and the sources at the store. */
 export interface FeedsService {
   readonly configFeed: Feed<KeyedRecord>;
   readonly upstreamFeed: Feed<KeyedRecord>;
   onConfig(page: FeedPage<KeyedRecord>): void;
   onUpstreams(page: FeedPage<KeyedRecord>, timing: ReadTiming): void;
+  /**
+   * Returns the longest wait of reads of the configuration, as they prove the keys; undefined if no
+   * proof is needed.
+   */
+  maxProofWait(): Millis | undefined;
+  /** Called when a read of the configuration starts; the result once its page is applied. */
+  onConfigReadStart(wait: Millis): (read: AppliedRead) => void;
   /** Handles a request of a peer that is not for the feeds; returns whether it did. */
   onPeerRequest(req: IncomingMessage, res: ServerResponse): boolean;
 }
@@ -84,6 +97,7 @@
       name: FeedName,
       feed: Feed<KeyedRecord>,
       onPage: (page: PositionedPage, timing: ReadTiming) => void,
+      options: Partial<FollowerOptions<KeyedRecord>> = {},
     ): Follower<KeyedRecord> =>
       new Follower({
         name,
@@ -100,9 +114,14 @@
           this.relay.publish(name, page);
           onPage(page, timing);
         },
+        ...options,
       });
     this.followers = {
-      config: follow('config', service.configFeed, (page) => service.onConfig(page)),
+      config: follow('config', service.configFeed, (page) => service.onConfig(page), {
+        longPoll: () => this.proofWait(service.maxProofWait()),
+        isUrgent: () => this.readsAtStore && service.maxProofWait() !== undefined,
+        onReadStart: (wait) => service.onConfigReadStart(wait),
+      }),
       upstreams: follow('upstreams', service.upstreamFeed, (page, timing) =>
         service.onUpstreams(page, timing),
       ),
@@ -131,6 +150,21 @@
     return this.followers.upstreams.age(this.context.clock.now());
   }
 
+  /** Whether another gateway sends the feeds to this one. */
+  get isRelayed(): boolean {
+    return this.subscription.isConnected;
+  }
+
+  /** The gateway that sends the feeds to this one, if any. */
+  get source(): Incarnation | undefined {
+    return this.subscription.reader;
+  }
+
+  /** Reads the configuration at the store at once. */
+  async readConfigNow(): Promise<void> {
+    await this.followers.config.readNow();
+  }
+
   start(): void {
     void this.followers.config.follow();
     void this.followers.upstreams.follow();
@@ -175,6 +209,12 @@
     return MIN_LONG_POLL_MS + this.context.random() * (longest - MIN_LONG_POLL_MS);
   }
 
+  /** Returns the wait of a read of the configuration; short if it proves the keys. */
+  private proofWait(longest: Millis | undefined): Millis {
+    if (longest === undefined) return this.longPoll();
+    return longest * (1 - PROOF_WAIT_JITTER_RATIO * this.context.random());
+  }
+
   private batchPause(): Millis {
     if (this.relay.subscriberCount > 0) return READER_BATCH_PAUSE_RATIO * this.bound;
     return (this.hasMembers ? BATCH_PAUSE_RATIO : FIRST_BATCH_PAUSE_RATIO) * this.bound;
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -10,13 +10,15 @@
 import { CrashExchange } from './crash-exchange';
 import { DATAGRAM_VERSION, type FeedPositions, type PeerTopic } from './datagram';
 import { EvidenceExchange } from './evidence-exchange';
+import { FreshnessExchange } from './freshness-exchange';
+import type { FreshnessPorts } from './freshness-ports';
 import { LimitSharing } from './limit-sharing';
 import { PathExchange } from './path-exchange';
 import { DatagramLink } from './peer-link';
 import type { ServiceScheduler } from './service-scheduler';
 
 /** Functions of the gateway that its fleet calls. */
-export interface FleetService {
+export interface FleetService extends Omit<FreshnessPorts, 'self' | 'members'> {
   /** Returns how far this gateway has read the store's feeds; sent along with every datagram. */
   feedPositions(): FeedPositions;
   /** Takes in how far a peer has read the feeds. */
@@ -70,6 +72,9 @@
   /** Knows the requests that crash upstreams. */
   readonly crashes: CrashExchange;
 
+  /** Knows whether this gateway's keys are the store's. */
+  readonly freshness: FreshnessExchange;
+
   /** Receivers of the bodies of datagrams, which they have to check. */
   private readonly handlers: Readonly<Record<PeerTopic, (body: unknown) => void>> = {
     membership: (body) => this.onMembershipMessage(body),
@@ -78,7 +83,7 @@
     crashes: (body) => this.crashes.onMessage(body),
     paths: (body) => this.paths.onMessage(body),
     quotas: () => {},
-    freshness: () => {},
+    freshness: (body) => this.freshness.onMessage(body),
   };
 
   private tickTimer: NodeJS.Timeout | undefined;
@@ -118,6 +123,14 @@
     this.paths = new PathExchange(context, this.incarnation, this.link, () =>
       this.recomputeOwners(),
     );
+    this.freshness = new FreshnessExchange(context, this.link, {
+      self: this.incarnation,
+      members: () => this.members,
+      revocationTime: () => service.revocationTime(),
+      source: () => service.source(),
+      readsAtStore: () => service.readsAtStore(),
+      readStore: () => service.readStore(),
+    });
     this.evidence = new EvidenceExchange(context, this.link, {
       otherOwners: (name) => this.otherOwners(name),
       schedulers: () => service.schedulers(),
@@ -168,6 +181,7 @@
     this.evidence.close();
     this.crashes.close();
     this.paths.close();
+    this.freshness.close();
     this.link.close();
   }
 
@@ -178,7 +192,7 @@
     if (isAlone && this.context.clock.now() < this.settledAt) return [];
     const group = this.service.hostGroups()?.ofHost(host.toLowerCase());
     if (!group) return [];
-    return this.ownersOfGroup(dataCentre, group).map(
+    return this.ownersOfGroup(dataCentre, group, this.membersForCallers()).map(
       ({ address, callerPort }) => `${address}:${callerPort}`,
     );
   }
@@ -242,9 +256,26 @@
   }
 
   /** Returns the owners in one data centre, which carries an equal part of the group's demand. */
-  private ownersOfGroup(dataCentre: DataCentre, { name, demand }: HostGroup): readonly Member[] {
+  private ownersOfGroup(
+    dataCentre: DataCentre,
+    { name, demand }: HostGroup,
+    members = this.membersWithPath(),
+  ): readonly Member[] {
     const demandPerDataCentre = demand / Math.max(1, this.dataCentres.length);
-    return ownersOf(this.membersWithPath(), dataCentre, name, demandPerDataCentre);
+    return ownersOf(members, dataCentre, name, demandPerDataCentre);
+  }
+
+  /**
+   * Returns the members that callers may be sent to: others while this one refuses all keys. If it
+   * takes all others for dead, it is more likely cut off itself, and names them nevertheless.
+   */
+  private membersForCallers(): readonly Member[] {
+    const members = this.membersWithPath();
+    if (!this.freshness.isRefusing()) return members;
+    const others = members.filter(({ incarnation }) => incarnation !== this.incarnation);
+    if (others.some(({ state }) => state === 'alive')) return others;
+    const lost = others.filter(({ state }) => state !== 'leaving');
+    return lost.length > 0 ? lost.map((member) => ({ ...member, state: 'alive' })) : members;
   }
 
   /** Returns the members without those whose path to the upstreams is cut; all if none is left. */
--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -23,6 +23,15 @@
  * known after the store has returned.
  */
 const MAX_RETRY_DELAY_MS: Millis = 1000;
+/**
+ * The same for a feed whose contact is urgent: time allowed for a read after a failed one, and the
+ * time from its start until the next. A store that doesn't answer and then does is seen within their
+ * sum.
+ */
+const URGENT_READ_TIMEOUT_MS: Millis = 400;
+const URGENT_RETRY_DELAY_MS: Millis = 250;
+/** Number of failed reads in a row from which `readNow` leaves it to the next retry. */
+const MAX_FAILURES_BEFORE_READ_NOW = 1;
 /**
  * Returns the delay before the next read after `failures` failed reads in a row (at least 1). It
  * grows because an overloaded store refuses all gateways, and a refusal costs it as much as an
@@ -50,6 +59,12 @@
   storeReturnedAt: Number.NEGATIVE_INFINITY,
 };
 
+/** A read that the store has answered with all records that it had, and whose page is applied. */
+export interface AppliedRead {
+  readonly position: FeedPosition;
+  readonly isEmpty: boolean;
+}
+
 /** What a follower reads, and how. */
 export interface FollowerOptions<T> {
   /** The name of the feed in log lines and metrics. */
@@ -72,6 +87,13 @@
   onEra(era: number): void;
   /** Receives each page that was read, without items that an earlier page had. */
   onPage(page: PositionedPage<T>, timing: ReadTiming): void;
+  /** Whether failed reads are to be repeated soon, as much depends on contact with the store. */
+  isUrgent?(): boolean;
+  /**
+   * Called when a read at the store starts; the result is called once its page is applied. Pages
+   * of other gateways are no reads.
+   */
+  onReadStart?(wait: Millis): (read: AppliedRead) => void;
 }
 
 /**
@@ -136,9 +158,10 @@
         mayMissEra = this.options.isQuiet;
       }
       const before = this.furthestPosition;
+      const startedAt = this.options.clock.now();
       await this.read(this.failures > 0 || mayMissEra ? 0 : this.options.longPoll());
       mayMissEra = false;
-      if (this.failures > 0) await this.pause(retryDelay(this.failures));
+      if (this.failures > 0) await this.pause(this.retryDelayFrom(startedAt));
       else if (this.furthestPosition > before) {
         await this.pause(this.options.batchPause());
         mayMissEra = this.options.isQuiet;
@@ -146,6 +169,12 @@
     }
   }
 
+  /** Reads at once, whether or not another read waits, unless failed reads are repeated anyway. */
+  async readNow(): Promise<void> {
+    const isRepeating = !this.isRelayed && this.failures > MAX_FAILURES_BEFORE_READ_NOW;
+    if (!this.closed && !isRepeating) await this.read(0);
+  }
+
   /** Stops the reads while another gateway passes the pages on; reads at once afterwards. */
   setRelayed(isRelayed: boolean): void {
     if (this.isRelayed === isRelayed) return;
@@ -188,6 +217,16 @@
     this.resume?.();
   }
 
+  private get isUrgent(): boolean {
+    return this.options.isUrgent?.() ?? false;
+  }
+
+  /** Returns the delay before the next read after a failed one that started at `startedAt`. */
+  private retryDelayFrom(startedAt: Instant): Millis {
+    if (!this.isUrgent) return retryDelay(this.failures);
+    return Math.max(0, startedAt + URGENT_RETRY_DELAY_MS - this.options.clock.now());
+  }
+
   private async pause(millis: Millis): Promise<void> {
     this.isPausing = true;
     await sleep(millis);
@@ -197,8 +236,10 @@
   private async read(wait: Millis): Promise<void> {
     const { clock, feed } = this.options;
     const startedAt = clock.now();
-    const deadline = startedAt + wait + READ_TIMEOUT_MS;
+    const isUrgentRetry = this.failures > 0 && this.isUrgent;
+    const deadline = startedAt + wait + (isUrgentRetry ? URGENT_READ_TIMEOUT_MS : READ_TIMEOUT_MS);
     const { position } = this;
+    const onApplied = this.options.onReadStart?.(wait);
     const page =
       position === undefined
         ? await feed.readSnapshot(deadline)
@@ -212,18 +253,24 @@
     if (isGone && position !== this.position) return;
     page.caseOf({
       Left: (fault) => this.onFault(fault, startedAt),
-      Right: (read) => this.onStoreRead(read, position ?? 0, startedAt),
+      Right: (read) => {
+        if (!this.onStoreRead(read, position ?? 0, startedAt) || read.hasMore) return;
+        const isEmpty = !read.isSnapshot && read.items.length === 0;
+        onApplied?.({ position: read.position, isEmpty });
+      },
     });
     if (isGone && position !== undefined) await this.read(0);
   }
 
-  private onStoreRead(page: FeedPage<T>, from: number, startedAt: Instant): void {
+  /** Takes in a page of the store; returns whether it is applied. */
+  private onStoreRead(page: FeedPage<T>, from: number, startedAt: Instant): boolean {
     if (page.isSnapshot && page.position < this.furthestPosition) {
       const detail = 'snapshot is older than the position already read';
       this.onFault({ kind: 'malformed', detail }, startedAt);
-      return;
+      return false;
     }
     this.onRead({ ...page, from });
+    return true;
   }
 
   private onRead(page: PositionedPage<T>): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -32,12 +32,8 @@
 import { createDirectoryServer, createMetricsServer, createReadinessServer } from './small-servers';
 import { ConnectionPool } from './connection-pool';
 import type { CallerReply } from './replies';
-import { WorkspaceAccess, type KeyFreshness, type QuotaGate } from './workspace-access';
+import { WorkspaceAccess, type QuotaGate } from './workspace-access';
 
-const ALWAYS_FRESH: KeyFreshness = {
-  confirm: () => Promise.resolve({ kind: 'fresh' }),
-  refresh: () => Promise.resolve(),
-};
 const UNLIMITED: QuotaGate = {
   take: () => Promise.resolve({ kind: 'granted' }),
   giveBack: () => {},
@@ -134,7 +130,12 @@
     this.feeds = new Feeds(context, {
       configFeed,
       upstreamFeed,
-      onConfig: (page) => this.onConfig(page.items.flatMap(ports.decodeConfig)),
+      onConfig: (page) => {
+        this.onConfig(page.items.flatMap(ports.decodeConfig));
+        this.fleet.freshness.onApplied(page.position);
+      },
+      maxProofWait: () => this.fleet.freshness.maxProofWait(),
+      onConfigReadStart: (wait) => this.fleet.freshness.onReadStart(wait),
       onUpstreams: (page, timing) =>
         this.onUpstreams({ ...page, items: page.items.flatMap(ports.decodeUpstreams) }, timing),
       onPeerRequest: (req, res) => this.relayed.onRequest(req, res),
@@ -150,6 +151,10 @@
       onMembers: (self, members) => this.feeds.onMembers(self, members),
       hostGroups: () => this.hostGroups,
       schedulers: () => this.schedulers.byService,
+      revocationTime: () => this.revocationTime(),
+      source: () => this.feeds.source,
+      readsAtStore: () => !this.feeds.isRelayed,
+      readStore: () => this.feeds.readConfigNow(),
     });
     const callerService: CallerService = {
       limits: () => this.routes?.config.limits,
@@ -176,7 +181,8 @@
       },
     ];
     this.metricsServer = createMetricsServer(() => ports.metrics());
-    this.access = new WorkspaceAccess(context, ALWAYS_FRESH, UNLIMITED, () => this.routes?.config);
+    const { freshness } = this.fleet;
+    this.access = new WorkspaceAccess(context, freshness, UNLIMITED, () => this.routes?.config);
     this.requestContext = {
       ...context,
       pool: this.pool,
@@ -343,6 +349,12 @@
     });
   }
 
+  /** Returns the key revocation time; undefined if no proof of the keys is needed. */
+  private revocationTime(): Millis | undefined {
+    const hasWorkspaces = this.routes?.config.workspacesByKey !== undefined;
+    return hasWorkspaces ? this.context.settings.bounds.keyRevocationTime : undefined;
+  }
+
   /** Groups the hosts again after a change of the routes or upstreams, and updates the owners. */
   private recomputeHostGroups(): void {
     if (!this.routes) return;
--- a/src/model/feed.ts
+++ b/src/model/feed.ts
@@ -34,6 +34,8 @@
   readonly items: readonly T[];
   /** The position from which to continue. */
   readonly position: FeedPosition;
+  /** Whether the store had further records when it answered. */
+  readonly hasMore?: boolean;
 }
 
 /** A page and the position that its changes follow; 0 for a snapshot. */
--- a/test/gateway/feeds.test.ts
+++ b/test/gateway/feeds.test.ts
@@ -57,6 +57,8 @@
         upstreamFeed: upstreamFeed(client),
         onPeerRequest: () => false,
         onConfig: () => {},
+        maxProofWait: () => undefined,
+        onConfigReadStart: () => () => {},
         onUpstreams: ({ items }) => keys.push(...items.map(({ key }) => key)),
       },
     );
--- a/test/gateway/fleet.test.ts
+++ b/test/gateway/fleet.test.ts
@@ -52,6 +52,10 @@
     onMembers: () => {},
     hostGroups: () => new HostGroups(CONFIG, () => 0),
     schedulers: () => schedulers,
+    revocationTime: () => undefined,
+    source: () => undefined,
+    readsAtStore: () => true,
+    readStore: () => Promise.resolve(),
   });
   const scheduler = new ServiceScheduler(SERVICE, context, () => fleet.isOwnerOf(SERVICE));
   scheduler.put(upstream);
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -174,6 +174,12 @@
   readonly upstreams?: readonly PlatformUpstream[];
   /** Returns the port at which this gateway reaches an upstream. */
   readonly portOf?: (upstream: PlatformUpstream) => number;
+  /** A store that other gateways use too; the harness that started it closes it. */
+  readonly store?: StoreStandIn;
+  /** The port at which this gateway reaches the store; the store's own by default. */
+  readonly storePort?: number;
+  /** Bounds in the settings beside the usual ones. */
+  readonly bounds?: readonly string[];
 }
 
 /** A gateway in this process, with its store, upstreams and recorded events. */
@@ -201,7 +207,7 @@
     paths?: readonly object[],
     options: HarnessOptions = {},
   ): Promise<GatewayHarness> {
-    const store = await startStore();
+    const store = options.store ?? (await startStore());
     const upstreams =
       options.upstreams ??
       (await Promise.all(
@@ -212,8 +218,9 @@
     const seeds = (options.seeds ?? []).map((seed) => `${seed}:${callers}`);
     const text = settingsText(callers, 1, seeds)
       .replaceAll(`"${ADDRESS}`, `"${options.address ?? ADDRESS}`)
-      .replace(/(\[platform\]\naddress = ).*/, `$1"${ADDRESS}:${store.port}"`)
-      .replace(/seeds = .*/, `seeds = ${JSON.stringify(seeds)}`);
+      .replace(/(\[platform\]\naddress = ).*/, `$1"${ADDRESS}:${options.storePort ?? store.port}"`)
+      .replace(/seeds = .*/, `seeds = ${JSON.stringify(seeds)}`)
+      .replace(/bounds = .*/, `bounds = ${JSON.stringify([...BOUNDS, ...(options.bounds ?? [])])}`);
     const settings = parseSettings('test', text).unsafeCoerce();
     const telemetry = recordingTelemetry();
     const clock = systemClock;
@@ -249,9 +256,13 @@
     return harness;
   }
 
-  /** Stores a configuration. */
-  configure(version: number, paths: readonly object[]): void {
-    this.store.put('keyed.op', 'config', configOf(version, paths));
+  /** Stores a configuration; `more` are fields beside the usual ones. */
+  configure(
+    version: number,
+    paths: readonly object[],
+    more: Readonly<Record<string, unknown>> = {},
+  ): void {
+    this.store.put('keyed.op', 'config', { ...configOf(version, paths), ...more });
   }
 
   /** Stores the entry of an upstream. */
@@ -341,6 +352,7 @@
     await this.gateway.stop();
     this.client.close();
     const own = this.options.upstreams ? [] : this.upstreams;
-    await Promise.all([this.store.close(), ...own.map((upstream) => upstream.close())]);
+    const stores = this.options.store ? [] : [this.store];
+    await Promise.all([...stores, ...own].map((standIn) => standIn.close()));
   }
 }
