--- a/test/gateway/workspaces.test.ts
+++ b/test/gateway/workspaces.test.ts
@@ -19,7 +19,7 @@
   let harness: GatewayHarness;
   before(async () => {
     harness = await GatewayHarness.start(2, PATHS);
-    harness.configure(2, PATHS, WORKSPACES);
+    harness.configure(2, PATHS, { tenants: WORKSPACES });
     await harness.until(() => harness.count('config-in-force') === 2);
   });
   after(() => harness.close());
@@ -75,7 +75,7 @@
   });
 
   it('refuses a key from the moment at which a configuration without it is in force', async () => {
-    harness.configure(3, PATHS, [{ name: 'cuka620', apiKeys: [] }]);
+    harness.configure(3, PATHS, { tenants: [{ name: 'cuka620', apiKeys: [] }] });
     await harness.until(() => harness.count('config-in-force') === 3);
     expect((await send('a7', '/read/x', { 'X-Api-Key': KEY })).status).toEqual(401);
   });
