Share workspaces' quotas between hosts by leased tokens

Cause: a workspace's quota was decoded but not enforced.

The gateway's QuotaGate is the new QuotaExchange; the decision carries the token, so that a token given back keeps the end of its lease.

--- a/src/core/gateway/owners.ts
+++ b/src/core/gateway/owners.ts
@@ -30,6 +30,24 @@
     : undefined;
 };
 
+/**
+ * Ranks members by rendezvous hashing weighted by capacity, so that all nodes select the same first
+ * ones and few change when members do.
+ */
+export const rankedFor = <M extends Pick<Member, 'address' | 'capacity'>>(
+  group: string,
+  members: readonly M[],
+): readonly M[] => {
+  const groupHash = hashOf(group);
+  return members
+    .map((member) => {
+      const uniform = (pairHash(groupHash, hashOf(member.address)) + 1) / (HASH_COUNT + 1);
+      return { member, rank: -Math.log(uniform) / (member.capacity ?? 1) };
+    })
+    .sort((a, b) => a.rank - b.rank || (a.member.address < b.member.address ? -1 : 1))
+    .map(({ member }) => member);
+};
+
 /**
  * Returns the owners of a host group: the alive members that its callers in one data centre are
  * sent to. They are the highest ranked by rendezvous hashing weighted by capacity, so that all
@@ -46,14 +64,7 @@
 ): readonly Member[] => {
   const alive = members.filter(({ state }) => state === 'alive');
   const near = alive.filter((member) => member.dataCentre === dataCentre);
-  const groupHash = hashOf(group);
-  const ranked = (near.length > 0 ? near : alive)
-    .map((member) => {
-      const uniform = (pairHash(groupHash, hashOf(member.address)) + 1) / (HASH_COUNT + 1);
-      return { member, rank: -Math.log(uniform) / (member.capacity ?? 1) };
-    })
-    .sort((a, b) => a.rank - b.rank || (a.member.address < b.member.address ? -1 : 1))
-    .map(({ member }) => member);
+  const ranked = rankedFor(group, near.length > 0 ? near : alive);
   const isEnough = (count: number): boolean =>
     ranked
       .slice(0, count)
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -4,7 +4,15 @@
 import { capacityOf, ownersOf, type HostGroup, type HostGroups } from '../core/gateway';
 import { decodeMembershipMessage, Membership, type MembershipEvent } from '../core/membership';
 import type { EvidenceKind, UpstreamStats } from '../core/placement';
-import type { DataCentre, Incarnation, Instant, Member, Millis, ServiceName } from '../model';
+import type {
+  DataCentre,
+  GatewayConfig,
+  Incarnation,
+  Instant,
+  Member,
+  Millis,
+  ServiceName,
+} from '../model';
 
 import type { GatewayContext } from './context';
 import { CrashExchange } from './crash-exchange';
@@ -13,6 +21,7 @@
 import { LimitSharing } from './limit-sharing';
 import { PathExchange } from './path-exchange';
 import { DatagramLink } from './peer-link';
+import { QuotaExchange } from './quota-exchange';
 import type { ServiceScheduler } from './service-scheduler';
 
 /** Functions of the gateway that its fleet calls. */
@@ -23,6 +32,8 @@
   onPeerPositions(positions: FeedPositions): void;
   /** Receives the members when they have changed; `self` is this gateway's incarnation. */
   onMembers(self: Incarnation, members: readonly Member[]): void;
+  /** Returns the configuration in force; undefined until one is known. */
+  config(): GatewayConfig | undefined;
   /** Returns the groups of hosts with the same owners; undefined until a configuration is known. */
   hostGroups(): HostGroups | undefined;
   /** Returns the schedulers in use, by service name. */
@@ -70,6 +81,9 @@
   /** Knows the requests that crash upstreams. */
   readonly crashes: CrashExchange;
 
+  /** Counts the requests of workspaces against their quotas. */
+  readonly quotas: QuotaExchange;
+
   /** Receivers of the bodies of datagrams, which they have to check. */
   private readonly handlers: Readonly<Record<PeerTopic, (body: unknown) => void>> = {
     membership: (body) => this.onMembershipMessage(body),
@@ -77,7 +91,7 @@
     beliefs: (body) => this.evidence.onBeliefs(body),
     crashes: (body) => this.crashes.onMessage(body),
     paths: (body) => this.paths.onMessage(body),
-    quotas: () => {},
+    quotas: (body) => this.quotas.onMessage(body),
     freshness: () => {},
   };
 
@@ -99,7 +113,10 @@
     this.link = new DatagramLink(telemetry, {
       feedPositions: () => service.feedPositions(),
       onPeerPositions: (positions) => service.onPeerPositions(positions),
-      onMessage: (topic, body) => this.handlers[topic](body),
+      onMessage: (topic, body) => {
+        this.quotas.onContact();
+        this.handlers[topic](body);
+      },
     });
     this.membership = Membership.start(
       {
@@ -115,6 +132,7 @@
       xoroshiro128plus(randomBytes(SEED_BYTES).readInt32LE(0)),
     );
     this.crashes = new CrashExchange(context, this.link);
+    this.quotas = new QuotaExchange(context, this.incarnation, this.link, () => service.config());
     this.paths = new PathExchange(context, this.incarnation, this.link, () =>
       this.recomputeOwners(),
     );
@@ -139,6 +157,7 @@
     if (this.tickTimer) return;
     this.settledAt = this.context.clock.now() + STARTUP_SETTLE_MS;
     this.tickTimer = setInterval(() => this.applyEvent({ kind: 'tick' }), MEMBERSHIP_TICK_MS);
+    this.quotas.onJoined();
     this.applySeeds();
   }
 
@@ -167,6 +186,7 @@
     clearInterval(this.tickTimer);
     this.evidence.close();
     this.crashes.close();
+    this.quotas.close();
     this.paths.close();
     this.link.close();
   }
@@ -214,6 +234,7 @@
    */
   recomputeOwners(): void {
     this.owners.clear();
+    this.quotas.onConfig();
     this.service.schedulers().forEach(({ name }) => {
       const isOwner = this.isOwnerOf(name);
       if (isOwner !== this.evidence.hasAsked(name)) {
@@ -307,6 +328,7 @@
           this.paths.onMembers(this.members);
           this.recomputeOwners();
           this.crashes.onMembers(this.members);
+          this.quotas.onMembers(this.members);
           this.service.onMembers(this.incarnation, this.members);
       }
     });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import { HostGroups, HostRoutes, WeightedRoundRobin, type UpstreamChange } from '../core/gateway';
 import {
   MILLIS_PER_SECOND,
+  type GatewayConfig,
   type GatewaySettings,
   type Millis,
   type ServiceName,
@@ -32,16 +33,12 @@
 import { createDirectoryServer, createMetricsServer, createReadinessServer } from './small-servers';
 import { ConnectionPool } from './connection-pool';
 import type { CallerReply } from './replies';
-import { WorkspaceAccess, type KeyFreshness, type QuotaGate } from './workspace-access';
+import { WorkspaceAccess, type KeyFreshness } from './workspace-access';
 
 const ALWAYS_FRESH: KeyFreshness = {
   confirm: () => Promise.resolve({ kind: 'fresh' }),
   refresh: () => Promise.resolve(),
 };
-const UNLIMITED: QuotaGate = {
-  take: () => Promise.resolve({ kind: 'granted' }),
-  giveBack: () => {},
-};
 
 /** Sources and codecs that a gateway is connected to. */
 export interface GatewayPorts {
@@ -148,6 +145,7 @@
       feedPositions: () => this.feeds.positions,
       onPeerPositions: (positions) => this.feeds.onPeerPositions(positions),
       onMembers: (self, members) => this.feeds.onMembers(self, members),
+      config: () => this.routes?.config,
       hostGroups: () => this.hostGroups,
       schedulers: () => this.schedulers.byService,
     });
@@ -176,7 +174,8 @@
       },
     ];
     this.metricsServer = createMetricsServer(() => ports.metrics());
-    this.access = new WorkspaceAccess(context, ALWAYS_FRESH, UNLIMITED, () => this.routes?.config);
+    const config = (): GatewayConfig | undefined => this.routes?.config;
+    this.access = new WorkspaceAccess(context, ALWAYS_FRESH, this.fleet.quotas, config);
     this.requestContext = {
       ...context,
       pool: this.pool,
--- a/src/gateway/workspace-access.ts
+++ b/src/gateway/workspace-access.ts
@@ -1,5 +1,6 @@
 import { createHash } from 'node:crypto';
 
+import type { LeasedToken } from '../core/quota';
 import type { GatewayConfig, GatewayRoute, GatewayWorkspace, Millis } from '../model';
 
 import type { GatewayContext } from './context';
@@ -25,7 +26,7 @@
 
 /** The decision on one request of a workspace with a quota; `retryAfter` is in milliseconds. */
 export type QuotaDecision =
-  | { readonly kind: 'granted' }
+  | { readonly kind: 'granted'; readonly token: LeasedToken }
   /** The quota is used up. */
   | { readonly kind: 'exceeded'; readonly retryAfter: Millis }
   /** Nobody could be asked for a token in time. */
@@ -36,7 +37,7 @@
   /** Takes a token for a request that is refused if it takes longer than `maxWait`. */
   take(workspace: GatewayWorkspace, maxWait: Millis): Promise<QuotaDecision>;
   /** Gives back the token of a request that has not run and never will. */
-  giveBack(workspace: GatewayWorkspace): void;
+  giveBack(workspace: GatewayWorkspace, token: LeasedToken): void;
 }
 
 /** A token that a request holds; giving it back again has no effect. */
@@ -139,7 +140,7 @@
       case 'granted': {
         let isHeld = true;
         const giveBack = (): void => {
-          if (isHeld) this.quotas.giveBack(workspace);
+          if (isHeld) this.quotas.giveBack(workspace, decision.token);
           isHeld = false;
         };
         return { kind: 'allowed', request: { ...request, quotaToken: { giveBack } } };
--- a/test/gateway/fleet.test.ts
+++ b/test/gateway/fleet.test.ts
@@ -50,6 +50,7 @@
     feedPositions: () => [3, 4],
     onPeerPositions: (told) => heads.push(told),
     onMembers: () => {},
+    config: () => undefined,
     hostGroups: () => new HostGroups(CONFIG, () => 0),
     schedulers: () => schedulers,
   });
