--- a/src/core/quota/allocator-directory.ts
+++ b/src/core/quota/allocator-directory.ts
@@ -9,7 +9,9 @@
   | { readonly kind: 'peer'; readonly member: QuotaMember }
   /** Nobody until the lost allocator can't have run anything any more. */
   | { readonly kind: 'lost' }
-  /** This host has just started, or takes itself for cut off from the others. */
+  /** This host, which has just started or come back and claims the partition from `before`. */
+  | { readonly kind: 'claiming'; readonly before: QuotaMember | undefined }
+  /** This host takes itself for cut off from the others. */
   | { readonly kind: 'undecided' };
 
 /** A member that died without having left. */
@@ -28,7 +30,10 @@
  * members count for that: this host is then more likely cut off itself.
  */
 const MOST_LOST_WAIT_MS: Millis = 60_000;
-/** Time in milliseconds after its start in which a host discovers the others. */
+/**
+ * Time in milliseconds after its start, or after it was cut off, in which a host discovers the others
+ * and they stop to grant what it is the allocator of.
+ */
 const SETTLE_MS: Millis = 800;
 
 const addressOf = ({ address, peerPort }: QuotaMember): string =>
@@ -48,7 +53,7 @@
 
   private contactAt: Instant;
 
-  private readonly readyAt: Instant;
+  private readyAt: Instant;
 
   /** Rankings by partition; cleared when the members or the lost ones change. */
   private readonly firstByPartition = new Map<PartitionIndex, QuotaMember | undefined>();
@@ -88,6 +93,7 @@
 
   /** Records that a datagram of a peer has arrived. */
   onContact(now: Instant): void {
+    if (this.isCutOff(now)) this.readyAt = now + SETTLE_MS;
     this.contactAt = now;
   }
 
@@ -101,7 +107,9 @@
     if (!first) return { kind: 'undecided' };
     if (!this.live.has(first.incarnation)) return { kind: 'lost' };
     if (first.incarnation !== this.self) return { kind: 'peer', member: first };
-    return now < this.readyAt || this.isCutOff(now) ? { kind: 'undecided' } : { kind: 'self' };
+    if (this.isCutOff(now)) return { kind: 'undecided' };
+    if (now >= this.readyAt) return { kind: 'self' };
+    return { kind: 'claiming', before: this.firstOf(partition, [...this.live.values()], false) };
   }
 
   /** Whether this host hears from no peer, or has lost most of them. */
@@ -124,7 +132,17 @@
       this.rankedUntil = Math.min(this.rankedUntil, lostAt + wait);
     });
     const candidates = [...this.live.values(), ...waitedFor.map(({ member }) => member)];
+    return this.firstOf(partition, candidates, true);
+  }
+
+  /** Returns the first by rendezvous hashing, with or without this host. */
+  private firstOf(
+    partition: PartitionIndex,
+    members: readonly QuotaMember[],
+    isWithSelf: boolean,
+  ): QuotaMember | undefined {
     const name = this.terms.partitions[partition] ?? '';
+    const candidates = members.filter(({ incarnation }) => isWithSelf || incarnation !== this.self);
     const near =
       partition < this.terms.dataCentreCount
         ? candidates.filter(({ dataCentre }) => dataCentre === name)
--- a/src/core/quota/host-quotas.ts
+++ b/src/core/quota/host-quotas.ts
@@ -80,9 +80,10 @@
   ) {
     this.directory = new AllocatorDirectory(self.incarnation, terms, now);
     this.allocator = new QuotaAllocator(terms, (workspace) => service.quotaOf(workspace));
-    this.duties = new PartitionDuties(terms, this.directory, this.allocator, (event) =>
-      service.onEvent(event),
-    );
+    this.duties = new PartitionDuties(terms, this.directory, this.allocator, {
+      claim: (partition, from) => service.send(from, { kind: 'claim', partition }),
+      onEvent: (event) => service.onEvent(event),
+    });
     this.order = new PartitionOrder(self, terms, this.directory, this.book);
     this.returnAt = now + RETURN_INTERVAL_MS;
     this.sweepAt = now + SWEEP_INTERVAL_MS;
@@ -140,13 +141,10 @@
         return;
       }
       case 'granted':
-        if (message.to !== this.self.incarnation) return;
-        message.grants.forEach((grant) => {
-          const record = this.book.record(grant.seq);
-          if (!record) return;
-          this.applyGrant(record, grant, now);
-          this.progress(record.stock, now);
-        });
+        if (message.to === this.self.incarnation) this.onGrants(message.grants, now);
+        return;
+      case 'claim':
+        this.duties.onClaim(message.partition, now);
     }
   }
 
@@ -236,6 +234,15 @@
     this.outbox.addAsk(member, ask, isUrgent, now);
   }
 
+  private onGrants(grants: readonly TokenGrant[], now: Instant): void {
+    grants.forEach((grant) => {
+      const record = this.book.record(grant.seq);
+      if (!record) return;
+      this.applyGrant(record, grant, now);
+      this.progress(record.stock, now);
+    });
+  }
+
   /** Takes in the answer to a request; one that comes again changes nothing. */
   private applyGrant(record: AskRecord, grant: TokenGrant, now: Instant): void {
     const { ask, stock, to, askedAt } = record;
--- a/src/core/quota/messages.ts
+++ b/src/core/quota/messages.ts
@@ -66,4 +66,6 @@
       /** The incarnation that asked; a restarted process drops the grants of the one before. */
       readonly to: Incarnation;
       readonly grants: readonly TokenGrant[];
-    };
+    }
+  /** The sender takes over a partition from the receiver, which stops granting it. */
+  | { readonly kind: 'claim'; readonly partition: PartitionIndex };
--- a/src/gateway/quota-message.ts
+++ b/src/gateway/quota-message.ts
@@ -86,13 +86,16 @@
       ]);
       return { kind, to, grants: tuples };
     }
+    case 'claim':
+      return message;
   }
 };
 
 /** Decodes a message of topic `quotas`; undefined if it is malformed. */
 export const decodeQuotaMessage = (body: unknown): QuotaMessage | undefined => {
   if (!isObject(body)) return undefined;
-  const { kind, from, sender, asks, returns, to, grants } = body;
+  const { kind, from, sender, asks, returns, to, grants, partition } = body;
+  if (kind === 'claim') return isCount(partition) ? { kind, partition } : undefined;
   if (kind === 'granted') {
     if (!isName(to) || !isListOf(isGrant)(grants)) return undefined;
     return { kind, to, grants: grants.map(toGrant) };
