--- a/test/gateway/quota.test.ts
+++ b/test/gateway/quota.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl';
 import { afterEach, describe, it } from 'node:test';
 
-import { configOf, GatewayHarness, routeOf, type SeenAnswer } from './harness';
+import { configOf, freePorts, GatewayHarness, routeOf, type SeenAnswer } from './harness';
 
 const PATHS = [routeOf('/a/', 'safe')];
 const KEY = 'k-1';
@@ -66,3 +66,38 @@
     expect(harness.count('quotas-started')).toEqual(0);
   });
 });
+
+describe('gateways of a fleet with a workspace that has a quota', () => {
+  const harnesses: GatewayHarness[] = [];
+  afterEach(async () => {
+    // The first one closes the upstream that all use.
+    for (const harness of harnesses.reverse()) await harness.close();
+    harnesses.length = 0;
+  });
+
+  it('share it, whichever of them the requests arrive at', async () => {
+    const callersPort = await freePorts(5);
+    const seeds = ['127.0.0.1', '127.0.0.2', '127.0.0.3'];
+    for (const address of seeds) {
+      const upstreams = harnesses[0]?.upstreams;
+      const options = { callersPort, seeds, address, ...(upstreams ? { upstreams } : {}) };
+      harnesses.push(await GatewayHarness.start(1, PATHS, options));
+    }
+    harnesses.forEach(({ store }) => store.put('keyed.op', 'config', withQuota(2, 20, 6)));
+    await pause(2500);
+    const answers: SeenAnswer[] = [];
+    const startedAt = Date.now();
+    // One gateway gets nearly all requests, and needs the partitions of the others.
+    for (let i = 0; Date.now() - startedAt < 3000; i++) {
+      const at = harnesses[i % 20 === 0 ? 1 : 0];
+      if (at) answers.push(await send(at, `r-${i}`));
+      await pause(10);
+    }
+    const seconds = (Date.now() - startedAt) / 1000;
+    const served = answers.filter(({ status }) => status === 200).length;
+    expect(served).toBeLessThanOrEqual(20 * (seconds + 0.5) + 6 + 1);
+    expect(served).toBeGreaterThanOrEqual(0.8 * 20 * seconds);
+    const starts = harnesses.map((harness) => harness.count('quota-allocator-started'));
+    expect(starts.reduce((sum, count) => sum + count, 0)).toBeGreaterThanOrEqual(3);
+  });
+});
