--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -32,12 +32,7 @@
 import { createDirectoryServer, createMetricsServer, createReadinessServer } from './small-servers';
 import { ConnectionPool } from './connection-pool';
 import type { CallerReply } from './replies';
-import { WorkspaceAccess, type QuotaGate } from './workspace-access';
-
-const UNLIMITED: QuotaGate = {
-  take: () => Promise.resolve({ kind: 'granted' }),
-  giveBack: () => {},
-};
+import { WorkspaceAccess } from './workspace-access';
 
 /** Sources and codecs that a gateway is connected to. */
 export interface GatewayPorts {
@@ -149,6 +144,7 @@
       feedPositions: () => this.feeds.positions,
       onPeerPositions: (positions) => this.feeds.onPeerPositions(positions),
       onMembers: (self, members) => this.feeds.onMembers(self, members),
+      config: () => this.routes?.config,
       hostGroups: () => this.hostGroups,
       schedulers: () => this.schedulers.byService,
       revocationTime: () => this.revocationTime(),
@@ -181,8 +177,8 @@
       },
     ];
     this.metricsServer = createMetricsServer(() => ports.metrics());
-    const { freshness } = this.fleet;
-    this.access = new WorkspaceAccess(context, freshness, UNLIMITED, () => this.routes?.config);
+    const { freshness, quotas } = this.fleet;
+    this.access = new WorkspaceAccess(context, freshness, quotas, () => this.routes?.config);
     this.requestContext = {
       ...context,
       pool: this.pool,
--- a/test/soak/freshness/simulated-host.ts
+++ b/test/soak/freshness/simulated-host.ts
@@ -16,6 +16,8 @@
 const BATCH_PAUSE_MS = 300;
 const WORKSPACE: GatewayWorkspace = { name: 'w', priority: undefined, quota: undefined };
 
+const UNUSED_TOKEN = { seq: 1, index: 0, usableFrom: 0, expiresAt: Number.POSITIVE_INFINITY };
+
 /** Functions of the fleet that a host calls. */
 export interface HostPorts {
   members(): readonly Member[];
@@ -101,7 +103,7 @@
     this.access = new WorkspaceAccess(
       context,
       this.exchange,
-      { take: () => Promise.resolve({ kind: 'granted' }), giveBack: () => {} },
+      { take: () => Promise.resolve({ kind: 'granted', token: UNUSED_TOKEN }), giveBack: () => {} },
       () => this.config(),
     );
   }
