--- a/src/core/evidence/service-report.ts
+++ b/src/core/evidence/service-report.ts
@@ -24,8 +24,11 @@
   readonly goodCount: number;
   /** A failure or overdue response, which came after the good ones. */
   readonly failure?: FailureKind | undefined;
-  /** Milliseconds since the gateway last sent the upstream a request. */
-  readonly sentAgo: Millis;
+  /**
+   * Milliseconds since the gateway sent the upstream the last request that reached it; undefined if
+   * none is known to have.
+   */
+  readonly sentAgo: Millis | undefined;
   /** Number of the gateway's requests in flight at the upstream. */
   readonly inFlight: number;
   /** The limit that the upstream announces; absent if it has none or was reported recently. */
--- a/src/core/evidence/service-reporter.ts
+++ b/src/core/evidence/service-reporter.ts
@@ -26,8 +26,11 @@
   goodCount: number;
   /** When the last good response was counted; -Infinity after a failure. */
   goodAt: Instant;
-  /** When the latest attempt began that evidence is from. */
-  attemptedAt: Instant;
+  /**
+   * When the latest attempt began that evidence is from. Attempts without any may not have reached
+   * the upstream, as where this host's path is cut, and are not reported as uses.
+   */
+  usedAt: Instant;
   /** The last use of the upstream that was reported. */
   reportedUseAt: Instant;
   reportedAt: Instant;
@@ -64,7 +67,7 @@
   /** Records evidence from an attempt that began at `sentAt`; returns whether it is due at once. */
   record(stats: UpstreamStats, evidence: EvidenceKind, sentAt: Instant, now: Instant): boolean {
     const state = this.stateOf(stats);
-    state.attemptedAt = Math.max(state.attemptedAt, sentAt);
+    state.usedAt = Math.max(state.usedAt, sentAt);
     if (state.rate !== stats.terms.limit?.rate) this.changedLimits.add(stats);
     if (evidence === 'good') {
       if (now - state.goodAt >= GOOD_EVIDENCE_INTERVAL_MS) {
@@ -112,7 +115,7 @@
     const state: ReportState = {
       goodCount: 0,
       goodAt: Number.NEGATIVE_INFINITY,
-      attemptedAt: Number.NEGATIVE_INFINITY,
+      usedAt: Number.NEGATIVE_INFINITY,
       reportedUseAt: Number.NEGATIVE_INFINITY,
       reportedAt: Number.NEGATIVE_INFINITY,
       reportedInFlight: 0,
@@ -123,16 +126,10 @@
     return state;
   }
 
-  /** Returns when this node last used the upstream. */
-  private useOf(stats: UpstreamStats): Instant {
-    return Math.max(stats.ownSentAt, this.states.get(stats)?.attemptedAt ?? stats.ownSentAt);
-  }
-
   private hasNews(stats: UpstreamStats, now: Instant): boolean {
     const { inFlight } = stats;
-    const usedAt = this.useOf(stats);
-    if (usedAt === Number.NEGATIVE_INFINITY) return false;
-    const { goodCount, reportedUseAt, reportedInFlight, reportedAt } = this.stateOf(stats);
+    if (inFlight === 0 && !this.states.has(stats)) return false;
+    const { goodCount, usedAt, reportedUseAt, reportedInFlight, reportedAt } = this.stateOf(stats);
     if (goodCount > 0 || usedAt > reportedUseAt) return true;
     return inFlight === 0
       ? reportedInFlight > 0
@@ -141,9 +138,9 @@
 
   /** Whether the upstream has a new use, and the last that other owners know of is old. */
   private isUseExpiring(stats: UpstreamStats, now: Instant): boolean {
-    const usedAt = this.useOf(stats);
-    if (now - usedAt >= RECENT_USE_WINDOW_MS) return false;
-    const { reportedUseAt } = this.stateOf(stats);
+    const state = this.states.get(stats);
+    if (!state || now - state.usedAt >= RECENT_USE_WINDOW_MS) return false;
+    const { usedAt, reportedUseAt } = state;
     const knownUseAt = Math.max(reportedUseAt, stats.peersSentAt);
     return usedAt > knownUseAt && now - knownUseAt >= EXPIRING_USE_AGE_MS;
   }
@@ -151,7 +148,7 @@
   /** Returns the report of an upstream and counts it as sent. */
   private report(stats: UpstreamStats, now: Instant): UpstreamReport {
     const state = this.stateOf(stats);
-    const usedAt = this.useOf(stats);
+    const { usedAt } = state;
     const { limit } = stats.terms;
     const hasLimit =
       limit !== undefined &&
@@ -159,7 +156,7 @@
     const report: UpstreamReport = {
       key: stats.key,
       goodCount: state.goodCount,
-      sentAgo: Math.max(0, now - usedAt),
+      sentAgo: Number.isFinite(usedAt) ? Math.max(0, now - usedAt) : undefined,
       inFlight: stats.inFlight,
       ...(hasLimit ? { limit: toLimitNews(limit, now) } : {}),
     };
--- a/src/core/placement/upstream-stats.ts
+++ b/src/core/placement/upstream-stats.ts
@@ -41,9 +41,6 @@
   /** Latest known time at which any node sent the upstream a request; -Infinity if none did. */
   lastSentAt: Instant = Number.NEGATIVE_INFINITY;
 
-  /** Latest time at which this node sent the upstream a request; -Infinity if it never did. */
-  private lastOwnSentAt: Instant = Number.NEGATIVE_INFINITY;
-
   /** Latest time at which another node is known to have sent the upstream a request. */
   private lastPeersSentAt: Instant = Number.NEGATIVE_INFINITY;
 
@@ -84,11 +81,6 @@
     return this.entry;
   }
 
-  /** Latest time at which this node sent the upstream a request; -Infinity if it never did. */
-  get ownSentAt(): Instant {
-    return this.lastOwnSentAt;
-  }
-
   /** Latest reported time at which another node sent it a request; -Infinity if none is. */
   get peersSentAt(): Instant {
     return this.lastPeersSentAt;
@@ -142,7 +134,6 @@
   attemptStarted(requestId: string, now: Instant, overdueAt: Instant): void {
     this.inFlightRequests.set(requestId, { startedAt: now, overdueAt });
     this.lastSentAt = now;
-    this.lastOwnSentAt = now;
     this.terms.recordSend(now);
   }
 
--- a/src/gateway/compact-report.ts
+++ b/src/gateway/compact-report.ts
@@ -1,7 +1,8 @@
 /**
  * Compact encoding of a `ServiceReport`, with the feed positions that go along with every datagram.
  * Bytes: version, topic, positions, sender, service, flags, the unserved priority and its age, then
- * for each upstream: key, flags, age of the last request, number in flight, limit.
+ * for each upstream: key, flags, age of the last request (plus one unit; 0 if none), number
+ * in flight, limit.
  */
 import {
   FAILURE_KINDS,
@@ -78,7 +79,10 @@
     (failureNumber << FAILURE_SHIFT) |
     (inFlight > 0 ? HAS_IN_FLIGHT : 0) |
     (limit ? HAS_LIMIT : 0);
-  writer.uint32(key).byte(flags).varint(toAgeUnits(sentAgo));
+  writer
+    .uint32(key)
+    .byte(flags)
+    .varint(sentAgo === undefined ? 0 : toAgeUnits(sentAgo) + 1);
   if (inFlight > 0) writer.varint(inFlight);
   if (limit) writeLimit(writer, limit);
 };
@@ -87,7 +91,7 @@
   const key = reader.uint32();
   const flags = reader.byte();
   const failureNumber = (flags >> FAILURE_SHIFT) & FAILURE_MASK;
-  const sentAgo = reader.varint() * AGE_UNIT_MS;
+  const agePlusOne = reader.varint();
   const inFlight = flags & HAS_IN_FLIGHT ? reader.varint() : 0;
   const limit = flags & HAS_LIMIT ? readLimit(reader) : undefined;
   if (flags & HAS_EXTENSION) reader.skipBlock();
@@ -95,7 +99,7 @@
     key,
     goodCount: flags & MAX_GOOD_COUNT,
     ...(failureNumber > 0 ? { failure: FAILURE_KINDS[failureNumber - 1] } : {}),
-    sentAgo,
+    sentAgo: agePlusOne === 0 ? undefined : (agePlusOne - 1) * AGE_UNIT_MS,
     inFlight,
     ...(limit ? { limit } : {}),
   };
--- a/src/gateway/evidence-exchange.ts
+++ b/src/gateway/evidence-exchange.ts
@@ -170,7 +170,7 @@
     { goodCount, failure, sentAgo, inFlight, limit }: UpstreamReport,
   ): void {
     const now = this.context.clock.now();
-    stats.recordPeerUse(now - sentAgo);
+    if (sentAgo !== undefined) stats.recordPeerUse(now - sentAgo);
     stats.recordPeerLoad(sender, inFlight, now);
     for (let i = 0; i < goodCount; i++) stats.applyEvidence('good', now);
     if (failure) stats.applyEvidence(failure, now);
