--- a/src/core/placement/upstream-stats.ts
+++ b/src/core/placement/upstream-stats.ts
@@ -52,9 +52,6 @@
   /** Latest known time at which any node sent the upstream a request; -Infinity if none did. */
   lastSentAt: Instant = Number.NEGATIVE_INFINITY;
 
-  /** Latest time at which this node sent the upstream a request; -Infinity if it never did. */
-  private lastOwnSentAt: Instant = Number.NEGATIVE_INFINITY;
-
   /** Latest time at which another node is known to have sent the upstream a request. */
   private lastPeersSentAt: Instant = Number.NEGATIVE_INFINITY;
 
@@ -97,11 +94,6 @@
     return this.entry;
   }
 
-  /** Latest time at which this node sent the upstream a request; -Infinity if it never did. */
-  get ownSentAt(): Instant {
-    return this.lastOwnSentAt;
-  }
-
   /** Latest reported time at which another node sent it a request; -Infinity if none is. */
   get peersSentAt(): Instant {
     return this.lastPeersSentAt;
@@ -164,7 +156,6 @@
     const ownLevel = this.inFlightRequests.size + 1 - slots;
     this.inFlightRequests.set(requestId, { startedAt: now, overdueAt, level, ownLevel });
     this.lastSentAt = now;
-    this.lastOwnSentAt = now;
     this.terms.recordSend(now);
   }
 
