--- a/test/gateway/peer-relay.test.ts
+++ b/test/gateway/peer-relay.test.ts
@@ -94,6 +94,7 @@
   it('goes on to the next peer where one has not run it', async () => {
     const declining = [refuses('path-cut'), isOfAnEarlierBuild];
     expect(bodyOf(await relay([...declining, answers], false))).toEqual('2');
+    expect(bodyOf(await relay([refuses('keys-stale'), answers], false))).toEqual('2');
     const refused = await relay([...declining, refuses('no-config')], false);
     expect(refused.kind === 'replied' && refused.reply.kind).toEqual('refused');
   });
