Refuse at once requests for which no start in time can be expected

Cause: a request was admitted by an estimate that takes all slots of the service for this host's own, though many hosts share them, and that is made once, on arrival: more urgent requests that come later push it back. Such requests waited until their latest start (0.95 of the objective less the mean latency, about 0.75 s) and were refused then.

Change: StartRate measures the requests that a host starts while others wait, and the estimate uses that.

The test of the queue at twice its capacity now reports starts to the queue, which measures them; its assertions are the same.

--- a/src/core/waiting/request-queue.ts
+++ b/src/core/waiting/request-queue.ts
@@ -2,6 +2,8 @@
 import { FairQueue } from '../admission';
 
 import { MinimumShares, type ShareGroups } from './minimum-shares';
+import { ReturnTimes } from './return-times';
+import { StartRate } from './start-rate';
 
 /** A request in the queue of a service. */
 export interface QueuedRequest extends ShareGroups {
@@ -24,14 +26,19 @@
   readonly meanLatency: Millis;
 }
 
-/** Shortest time in milliseconds after which a refused caller is told to retry. */
-const MIN_RETRY_AFTER_MS: Millis = 100;
-
 /** Time constant in milliseconds of the exponential decay of the arrival rate. */
 const ARRIVAL_DECAY_TIME_MS: Millis = 2000;
 /** Lowest ratio of the freed slots assumed to be left for less urgent requests. */
 const MIN_FREED_SLOT_RATIO = 0.02;
 
+/**
+ * Ratio of the expected wait: a request may wait if it would start in time after that wait. At 1 a
+ * quarter of the refused requests of a long overload wait first, as the estimate varies.
+ */
+const SAFE_WAIT_RATIO = 1.2;
+/** Ratio of the expected wait: a queued request is refused if even that wait makes it late. */
+const CERTAIN_WAIT_RATIO = 0.75;
+
 /** Stands for the workspace of requests without one. */
 const NO_WORKSPACE: WorkspaceName = '';
 /** Weight of every workspace in the order of the queue. */
@@ -57,37 +64,43 @@
 
   private readonly shares = new MinimumShares();
 
+  private readonly startRate = new StartRate();
+
+  private readonly returnTimes: ReturnTimes;
+
+  /** `random` returns a number from 0 up to but excluding 1. */
+  constructor(random: () => number = () => 0) {
+    this.returnTimes = new ReturnTimes(random);
+  }
+
   get length(): number {
     return this.sum(() => true);
   }
 
   /**
-   * Returns the time in milliseconds until a request arriving now would start, if slots are freed
-   * at the mean rate and more urgent requests keep arriving at their current rate.
+   * Returns the time in milliseconds until a request arriving now would start, if requests go on
+   * being started at the measured rate and more urgent ones keep arriving at their current rate.
    */
   expectedWait(groups: ShareGroups, capacity: ServiceCapacity, now: Instant): Millis {
-    const { priority } = groups;
-    const workspace = workspaceOf(groups);
-    const freedPerMs = Math.max(1, capacity.slots) / Math.max(1, capacity.meanLatency);
-    const queue = this.queues.get(priority);
-    if (this.isNextOwed(groups)) return 1 / freedPerMs;
-    const startCount = queue
-      ? queue.startsUntil(workspace, WORKSPACE_WEIGHT, queue.length(workspace))
-      : 1;
-    const leftPerMs = Math.max(
-      MIN_FREED_SLOT_RATIO * freedPerMs,
-      freedPerMs - this.urgentArrivalRate(priority, now),
-    );
-    return (this.sum((other) => other < priority) + startCount) / leftPerMs;
+    const position = this.queues.get(groups.priority)?.length(workspaceOf(groups)) ?? 0;
+    return this.waitAt(position, groups, capacity, now);
   }
 
   /** Decides whether a request may wait and counts it as arrived; it is not added to the queue. */
   admit(request: QueuedRequest, capacity: ServiceCapacity): QueueDecision {
-    this.shares.recordArrival(request, request.arrivedAt);
-    const wait = this.expectedWait(request, capacity, request.arrivedAt);
+    const { arrivedAt } = request;
+    this.shares.recordArrival(request, arrivedAt);
+    const wait = this.expectedWait(request, capacity, arrivedAt);
     this.recordArrival(request);
-    if (request.arrivedAt + wait <= request.startBy) return { kind: 'wait' };
-    return { kind: 'refuse', retryAfter: Math.max(MIN_RETRY_AFTER_MS, wait) };
+    if (arrivedAt + SAFE_WAIT_RATIO * wait <= request.startBy) return { kind: 'wait' };
+    return { kind: 'refuse', retryAfter: this.retryAfter(request, capacity, arrivedAt) };
+  }
+
+  /** Returns the Retry-After in milliseconds of a request that is refused now. */
+  retryAfter(groups: ShareGroups, capacity: ServiceCapacity, now: Instant): Millis {
+    const wait = this.expectedWait(groups, capacity, now);
+    const interval = 1 / this.leftPerMs(groups.priority, capacity, now);
+    return this.returnTimes.next(groups.priority, wait, interval, now);
   }
 
   /** Records a request that started on arrival. */
@@ -99,9 +112,11 @@
   /** Records that a request which had to wait is sent. */
   recordStart(request: QueuedRequest, now: Instant): void {
     this.shares.recordStart(request, now);
+    this.startRate.recordStart(now);
   }
 
   add(request: T): void {
+    this.startRate.setWaiting(true, request.arrivedAt);
     this.queueOf(request.priority).add(request, ({ arrivedAt }) => request.arrivedAt < arrivedAt);
   }
 
@@ -129,9 +144,55 @@
     const late = this.all().filter(({ startBy }) => now > startBy);
     late.forEach((request) => this.remove(request));
     this.queues.forEach((queue) => queue.prune());
+    this.startRate.setWaiting(this.length > 0, now);
     return late;
   }
 
+  /**
+   * Removes and returns the requests that are not expected to start in time any more, because more
+   * urgent ones have come since or fewer requests are started than was expected.
+   */
+  removeHopeless(capacityOf: (request: T) => ServiceCapacity, now: Instant): readonly T[] {
+    return this.urgencies.flatMap((priority) => {
+      const queue = this.queues.get(priority);
+      if (!queue) return [];
+      // Starts from the end, as a removed request shortens only the waits behind it.
+      return [...queue.positions()].reverse().flatMap(([request, position]) => {
+        const wait = this.waitAt(position, request, capacityOf(request), now);
+        if (now + CERTAIN_WAIT_RATIO * wait <= request.startBy) return [];
+        queue.remove(request);
+        return [request];
+      });
+    });
+  }
+
+  /** Returns the expected wait of a request at a position among those of its workspace. */
+  private waitAt(
+    position: number,
+    groups: ShareGroups,
+    capacity: ServiceCapacity,
+    now: Instant,
+  ): Millis {
+    const { priority } = groups;
+    if (this.isOwedAt(position, groups)) return 1 / this.startsPerMs(capacity, now);
+    const startCount =
+      this.queues.get(priority)?.startsUntil(workspaceOf(groups), WORKSPACE_WEIGHT, position) ?? 1;
+    const ahead = this.sum((other) => other < priority);
+    return (ahead + startCount) / this.leftPerMs(priority, capacity, now);
+  }
+
+  /** Returns the rate, per millisecond, at which this host is expected to start requests. */
+  private startsPerMs({ slots, meanLatency }: ServiceCapacity, now: Instant): number {
+    const latency = Math.max(1, meanLatency);
+    return this.startRate.perMilli(Math.max(1, slots) / latency, latency, now);
+  }
+
+  /** Returns the part of that rate which more urgent requests leave. */
+  private leftPerMs(priority: number, capacity: ServiceCapacity, now: Instant): number {
+    const perMs = this.startsPerMs(capacity, now);
+    return Math.max(MIN_FREED_SLOT_RATIO * perMs, perMs - this.urgentArrivalRate(priority, now));
+  }
+
   private takeUrgent(accepts: (request: T) => boolean): T | undefined {
     for (const priority of this.urgencies) {
       const taken = this.queues.get(priority)?.take(accepts);
@@ -140,12 +201,10 @@
     return undefined;
   }
 
-  /** Whether an arriving request is within the starts that one of its groups is owed. */
-  private isNextOwed({ priority, workspace }: ShareGroups): boolean {
-    const queue = this.queues.get(priority);
-    if ((queue?.size ?? 0) < this.shares.owedToPriority(priority)) return true;
-    if (workspace === undefined) return false;
-    return (queue?.length(workspace) ?? 0) < this.shares.owedToWorkspace(workspace);
+  /** Whether a request at a position is within the starts that one of its groups is owed. */
+  private isOwedAt(position: number, { priority, workspace }: ShareGroups): boolean {
+    if (position < this.shares.owedToPriority(priority)) return true;
+    return workspace !== undefined && position < this.shares.owedToWorkspace(workspace);
   }
 
   /** Takes a request of a priority or workspace that is owed a start, most starts first. */
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -259,8 +259,8 @@
         'failed',
         this.priority,
       );
-    if (!isAllowed) return this.finalReply('no-repeat-left', NO_UPSTREAM_RETRY_AFTER_MS);
-    return undefined;
+    if (isAllowed) return undefined;
+    return this.finalReply('no-repeat-left', this.scheduler.retryAfter(this.placementRequest()));
   }
 
   /** Returns the reply when no further attempt is made. */
--- a/src/gateway/queued-placement.ts
+++ b/src/gateway/queued-placement.ts
@@ -39,6 +39,8 @@
 
   readonly workspace: WorkspaceName | undefined;
 
+  readonly route: string;
+
   readonly arrivedAt: Instant;
 
   readonly startBy: Instant;
@@ -47,7 +49,7 @@
     private readonly request: QueueablePlacement,
     private readonly ports: QueuedPlacementPorts,
   ) {
-    ({ priority: this.priority, workspace: this.workspace } = request);
+    ({ priority: this.priority, workspace: this.workspace, route: this.route } = request);
     ({ arrivedAt: this.arrivedAt, startBy: this.startBy } = request);
     request.signal.addEventListener('abort', this.onAbort, { once: true });
   }
@@ -57,7 +59,7 @@
     return this.ports.attempt();
   }
 
-  /** Ends the waiting because `startBy` has passed. */
+  /** Ends the waiting because the request can't start in time. */
   expire(): void {
     this.settle(this.ports.lastResort());
   }
--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/service-scheduler.ts
@@ -44,7 +44,7 @@
 
   readonly retryBudget: WindowedRetryBudget;
 
-  private readonly queue = new RequestQueue<QueuedPlacement>();
+  private readonly queue: RequestQueue<QueuedPlacement>;
 
   private timer: NodeJS.Timeout | undefined;
 
@@ -56,6 +56,7 @@
     private readonly isOwner: () => boolean,
     termsSource?: TermsSource,
   ) {
+    this.queue = new RequestQueue(context.random);
     const coverShare = (): number =>
       Math.min(1, context.settings.bounds.floorShare + COVER_MARGIN_RATIO);
     const { dataCentre } = context.settings;
@@ -85,12 +86,7 @@
     return new Promise((resolve) => {
       const queued = new QueuedPlacement(request, {
         attempt: () => this.placeNow(request, requestId),
-        lastResort: () =>
-          this.placeLast(
-            request,
-            requestId,
-            this.queue.expectedWait(request, this.capacityFor(request), this.context.clock.now()),
-          ),
+        lastResort: () => this.placeLast(request, requestId, this.retryAfter(request)),
         leave: (placed) => {
           this.queue.remove(queued);
           resolve(placed);
@@ -115,6 +111,11 @@
     );
   }
 
+  /** Returns the Retry-After in milliseconds of a request that is refused now. */
+  retryAfter(request: QueueablePlacement): Millis {
+    return this.queue.retryAfter(request, this.capacityFor(request), this.context.clock.now());
+  }
+
   private capacityFor({ route }: QueueablePlacement): ServiceCapacity {
     return {
       slots: this.balancer.slots(this.context.clock.now()),
@@ -208,11 +209,24 @@
     }
   }
 
+  /** Ends the waiting of requests for which no start in time can be expected any more. */
+  private refuseHopeless(): void {
+    const now = this.context.clock.now();
+    const slots = this.balancer.slots(now);
+    this.queue
+      .removeHopeless(
+        ({ route }) => ({ slots, meanLatency: this.balancer.meanLatency(route) }),
+        now,
+      )
+      .forEach((queued) => queued.expire());
+  }
+
   /** Drains the queue at intervals until it is empty. */
   private scheduleDrain(): void {
     if (this.timer) return;
     this.timer = setTimeout(() => {
       this.timer = undefined;
+      this.refuseHopeless();
       this.drainQueue();
       if (this.queue.length > 0) this.scheduleDrain();
     }, QUEUE_POLL_MS);
--- a/test/core/waiting/replay.ts
+++ b/test/core/waiting/replay.ts
@@ -2,7 +2,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
 import { randomUnit } from '../../../src/core/admission/random-unit';
-import { RequestQueue, type QueuedRequest } from '../../../src/core/waiting';
+import { RequestQueue, type QueuedRequest, type ServiceCapacity } from '../../../src/core/waiting';
 
 /** A source of requests of one priority and workspace. */
 export interface Source {
@@ -28,6 +28,8 @@
   readonly sources: readonly Source[];
   /** Slots of the service at a time of the replay. */
   readonly slots: (now: number) => number;
+  /** Number of hosts that share the service's slots, of which this one gets an even part. */
+  readonly hosts?: number;
   readonly latency: number;
   /** Time in milliseconds for which a request may wait. */
   readonly patience: number;
@@ -46,20 +48,33 @@
   const rng = xoroshiro128plus(7);
   const queue = new RequestQueue<ReplayedRequest>();
   const running: number[] = [];
+  const { hosts = 1 } = replay;
   const results: Record<string, SourceResult> = {};
   replay.sources.forEach(({ name }) => {
     results[name] = { arrived: 0, served: 0, refusedAtOnce: 0, refusedLate: 0, longestVainWait: 0 };
   });
-  const isFree = (now: number): boolean => running.length < replay.slots(now);
+  const isFree = (now: number): boolean => running.length < replay.slots(now) / hosts;
   const start = (request: ReplayedRequest, now: number): void => {
     running.push(now + replay.latency);
     request.result.served += 1;
   };
-  const drain = (now: number): void => {
-    for (const { result, arrivedAt } of queue.removeExpired(now)) {
+  const capacityAt = (now: number): ServiceCapacity => ({
+    slots: replay.slots(now),
+    meanLatency: replay.latency,
+  });
+  const refuse = (requests: readonly ReplayedRequest[], now: number): void => {
+    for (const { result, arrivedAt } of requests) {
       result.refusedLate += 1;
       result.longestVainWait = Math.max(result.longestVainWait, now - arrivedAt);
     }
+  };
+  const drain = (now: number): void => {
+    refuse(queue.removeExpired(now), now);
+    if (now % DRAIN_INTERVAL_MS === 0)
+      refuse(
+        queue.removeHopeless(() => capacityAt(now), now),
+        now,
+      );
     while (isFree(now)) {
       const next = queue.take(() => true);
       if (!next) return;
@@ -74,8 +89,7 @@
       start(request, now);
       return;
     }
-    const capacity = { slots: replay.slots(now), meanLatency: replay.latency };
-    if (queue.admit(request, capacity).kind === 'wait') queue.add(request);
+    if (queue.admit(request, capacityAt(now)).kind === 'wait') queue.add(request);
     else request.result.refusedAtOnce += 1;
   };
   for (let now = 0; now < replay.duration; now += STEP_MS) {
--- a/test/core/waiting/request-queue.test.ts
+++ b/test/core/waiting/request-queue.test.ts
@@ -53,9 +53,9 @@
     for (let now = 0; now < 10_000; now += 25) {
       expiredCount += queue.removeExpired(now).length;
       free.forEach((until, slot) => {
-        const next = queue.all()[0];
-        if (until > now || !next) return;
-        queue.remove(next);
+        const next = until > now ? undefined : queue.take(() => true);
+        if (!next) return;
+        queue.recordStart(next, now);
         served[next.priority] = (served[next.priority] ?? 0) + 1;
         free[slot] = now + service.meanLatency;
       });
