Hold back less urgent requests while other hosts refuse more urgent ones

Cause: each host orders only its own queue, so that one host served less urgent requests while another refused more urgent ones of the same service.

Change: holdsBack (pure) decides from the most urgent priority that other hosts report as waiting or refused; it comes through the optional port mostUrgentWaitingAtPeers of ServiceSchedulers, which nothing supplies yet. ServiceScheduler.mostUrgentUnserved is what this host has to report. Requests that are held back keep a minimum share.

--- a/src/core/waiting/index.ts
+++ b/src/core/waiting/index.ts
@@ -1,2 +1,4 @@
+export * from './hold-back';
 export * from './minimum-shares';
 export * from './request-queue';
+export * from './types';
--- a/src/core/waiting/minimum-shares.ts
+++ b/src/core/waiting/minimum-shares.ts
@@ -4,7 +4,7 @@
  * Ratio of the mean share of started requests that each priority and workspace gets at least; a
  * quarter is promised, and the rest allows for hosts that see different means.
  */
-const MIN_SHARE_RATIO = 0.3;
+export const MIN_SHARE_RATIO = 0.3;
 /** Number of owed starts from which a group's next request goes first. */
 const OWED_START_COUNT = 1;
 /**
@@ -13,6 +13,11 @@
  */
 const MIN_OWED_COUNT = -1;
 const MAX_OWED_COUNT = 4;
+/**
+ * Mean share assumed at least for requests that are held back for other hosts: a host that holds
+ * back all its requests would otherwise reckon with ever smaller shares of its own.
+ */
+const MIN_HELD_MEAN_SHARE = 0.5;
 /** Time constant in milliseconds of the exponential decay of the counts behind the mean share. */
 const MEAN_DECAY_TIME_MS: Millis = 2000;
 /** Time in milliseconds without a request after which a group is forgotten. */
@@ -20,6 +25,8 @@
 /** Number of groups below which idle ones are not looked for. */
 const MIN_PRUNED_GROUP_COUNT = 64;
 
+const ifDue = (owed: number): number => (owed >= OWED_START_COUNT ? owed : 0);
+
 interface Group {
   /** Number of starts by which the group is behind its minimum share; negative if it is ahead. */
   owed: number;
@@ -85,31 +92,28 @@
   private countedAt: Instant = 0;
 
   /**
-   * Records a request that asks for a start. One that is held back for the sake of other hosts does
-   * not count toward the mean share, as this host has room for it.
+   * Records a request that asks for a start; `isHeldBack` tells whether it is held back for the
+   * sake of other hosts.
    */
   recordArrival({ priority, workspace }: ShareGroups, now: Instant, isHeldBack = false): void {
-    if (!isHeldBack) {
-      this.decayCounts(now);
-      this.arrived += 1;
-    }
-    const entitlement = MIN_SHARE_RATIO * this.meanShare;
+    this.decayCounts(now);
+    this.arrived += 1;
+    const entitlement = MIN_SHARE_RATIO * this.meanShare(isHeldBack);
     this.priorities.recordArrival(priority, entitlement, now);
     if (workspace !== undefined) this.workspaces.recordArrival(workspace, entitlement, now);
   }
 
-  recordStart({ priority, workspace }: ShareGroups, now: Instant, isHeldBack = false): void {
-    if (!isHeldBack) {
-      this.decayCounts(now);
-      this.started += 1;
-    }
+  recordStart({ priority, workspace }: ShareGroups, now: Instant): void {
+    this.decayCounts(now);
+    this.started += 1;
     this.priorities.recordStart(priority);
     if (workspace !== undefined) this.workspaces.recordStart(workspace);
   }
 
-  /** The recent share of requests that were started, 0 to 1. */
-  get meanShare(): number {
-    return this.arrived > 0 ? Math.min(1, this.started / this.arrived) : 1;
+  /** Returns the recent share of requests that were started, 0 to 1. */
+  meanShare(isHeldBack = false): number {
+    const measured = this.arrived > 0 ? Math.min(1, this.started / this.arrived) : 1;
+    return isHeldBack ? Math.max(MIN_HELD_MEAN_SHARE, measured) : measured;
   }
 
   /** Whether minimum shares hold: only where requests have workspaces. */
@@ -117,18 +121,17 @@
     return this.workspaces.size > 0;
   }
 
-  /** Returns how many starts a priority is owed; 0 if it is within its minimum share. */
-  owedToPriority(priority: number): number {
-    return this.ifDue(this.priorities.owedTo(priority));
+  /**
+   * Returns how many starts a priority is owed; 0 if it is within its minimum share. One that is
+   * held back for the sake of other hosts has a minimum share without workspaces too.
+   */
+  owedToPriority(priority: number, isHeldBack = false): number {
+    return this.isInForce || isHeldBack ? ifDue(this.priorities.owedTo(priority)) : 0;
   }
 
   /** Returns how many starts a workspace is owed; 0 if it is within its minimum share. */
   owedToWorkspace(workspace: WorkspaceName): number {
-    return this.ifDue(this.workspaces.owedTo(workspace));
-  }
-
-  private ifDue(owed: number): number {
-    return this.isInForce && owed >= OWED_START_COUNT ? owed : 0;
+    return ifDue(this.workspaces.owedTo(workspace));
   }
 
   private decayCounts(now: Instant): void {
--- a/src/core/waiting/request-queue.ts
+++ b/src/core/waiting/request-queue.ts
@@ -1,33 +1,13 @@
 import type { Instant, Millis, WorkspaceName } from '../../model';
 import { FairQueue } from '../admission';
 
-import { MinimumShares, type ShareGroups } from './minimum-shares';
-import { ReturnTimes } from './return-times';
+import { ArrivalRates } from './arrival-rates';
+import { holdsBack } from './hold-back';
+import { MIN_SHARE_RATIO, MinimumShares, type ShareGroups } from './minimum-shares';
+import { Refusals } from './refusals';
 import { StartRate } from './start-rate';
+import type { QueueDecision, QueuedRequest, ServiceCapacity } from './types';
 
-/** A request in the queue of a service. */
-export interface QueuedRequest extends ShareGroups {
-  readonly arrivedAt: Instant;
-  /**
-   * Latest time at which it is still useful to start the request; past it, the request is removed.
-   */
-  readonly startBy: Instant;
-}
-
-/** The decision to queue a request or to refuse it; `retryAfter` is in milliseconds. */
-export type QueueDecision =
-  { readonly kind: 'wait' } | { readonly kind: 'refuse'; readonly retryAfter: Millis };
-
-/** The capacity of a service when a request would have to wait. */
-export interface ServiceCapacity {
-  /** Expected number of slots at healthy upstreams; it need not be whole. */
-  readonly slots: number;
-  /** Mean time in milliseconds that a request holds a slot. */
-  readonly meanLatency: Millis;
-}
-
-/** Time constant in milliseconds of the exponential decay of the arrival rate. */
-const ARRIVAL_DECAY_TIME_MS: Millis = 2000;
 /** Lowest ratio of the freed slots assumed to be left for less urgent requests. */
 const MIN_FREED_SLOT_RATIO = 0.02;
 
@@ -39,6 +19,13 @@
 /** Ratio of the expected wait: a queued request is refused if even that wait makes it late. */
 const CERTAIN_WAIT_RATIO = 0.75;
 
+/**
+ * Number of owed starts allowed for each other start, so that they take a third of all at most when
+ * a host overestimates the mean share.
+ */
+const OWED_START_RATIO = 0.5;
+/** Largest number of owed starts in succession while others wait. */
+const MAX_OWED_ALLOWANCE = 4;
 /** Stands for the workspace of requests without one. */
 const NO_WORKSPACE: WorkspaceName = '';
 /** Weight of every workspace in the order of the queue. */
@@ -59,18 +46,26 @@
 
   private urgencies: readonly number[] = [];
 
-  /** Exponentially decayed number of requests that had to wait, as of `at`, by priority. */
-  private readonly arrivals = new Map<number, { readonly count: number; readonly at: Instant }>();
+  private readonly arrivals = new ArrivalRates();
+
+  /** Number of owed starts that may go before the others. */
+  private owedAllowance = MAX_OWED_ALLOWANCE;
 
   private readonly shares = new MinimumShares();
 
   private readonly startRate = new StartRate();
 
-  private readonly returnTimes: ReturnTimes;
+  private readonly refusals: Refusals;
 
-  /** `random` returns a number from 0 up to but excluding 1. */
-  constructor(random: () => number = () => 0) {
-    this.returnTimes = new ReturnTimes(random);
+  /**
+   * `random` returns a number from 0 up to but excluding 1, and `mostUrgentWaitingAtPeers` the most
+   * urgent priority that waits or is refused at other hosts, undefined if none is known.
+   */
+  constructor(
+    random: () => number = () => 0,
+    private readonly mostUrgentWaitingAtPeers: () => number | undefined = () => undefined,
+  ) {
+    this.refusals = new Refusals(random);
   }
 
   get length(): number {
@@ -89,9 +84,9 @@
   /** Decides whether a request may wait and counts it as arrived; it is not added to the queue. */
   admit(request: QueuedRequest, capacity: ServiceCapacity): QueueDecision {
     const { arrivedAt } = request;
-    this.shares.recordArrival(request, arrivedAt);
+    this.shares.recordArrival(request, arrivedAt, this.isBehindPeers(request.priority));
     const wait = this.expectedWait(request, capacity, arrivedAt);
-    this.recordArrival(request);
+    this.arrivals.record(request.priority, arrivedAt);
     if (arrivedAt + SAFE_WAIT_RATIO * wait <= request.startBy) return { kind: 'wait' };
     return { kind: 'refuse', retryAfter: this.retryAfter(request, capacity, arrivedAt) };
   }
@@ -100,7 +95,24 @@
   retryAfter(groups: ShareGroups, capacity: ServiceCapacity, now: Instant): Millis {
     const wait = this.expectedWait(groups, capacity, now);
     const interval = 1 / this.leftPerMs(groups.priority, capacity, now);
-    return this.returnTimes.next(groups.priority, wait, interval, now);
+    return this.refusals.retryAfter(groups.priority, wait, interval, now);
+  }
+
+  /** Whether a request has to wait although there may be room for it, for other hosts' sake. */
+  isHeldBack({ priority, workspace }: ShareGroups): boolean {
+    const owed = this.shares.owedToPriority(priority, true);
+    const owedToWorkspace = workspace === undefined ? 0 : this.shares.owedToWorkspace(workspace);
+    return holdsBack(priority, this.mostUrgentWaitingAtPeers(), owed + owedToWorkspace);
+  }
+
+  /**
+   * Returns the most urgent priority that waits here or was refused lately, which other hosts hold
+   * less urgent requests back for; undefined if there is none.
+   */
+  mostUrgentUnserved(now: Instant): number | undefined {
+    const waiting = this.urgencies.filter((priority) => this.queues.get(priority)?.size);
+    const unserved = [...waiting, ...this.refusals.recentPriorities(now)];
+    return unserved.length > 0 ? Math.min(...unserved) : undefined;
   }
 
   /** Records a request that started on arrival. */
@@ -116,7 +128,7 @@
   }
 
   add(request: T): void {
-    this.startRate.setWaiting(true, request.arrivedAt);
+    if (!this.isBehindPeers(request.priority)) this.startRate.setWaiting(true, request.arrivedAt);
     this.queueOf(request.priority).add(request, ({ arrivedAt }) => request.arrivedAt < arrivedAt);
   }
 
@@ -129,7 +141,16 @@
    * for it if it is sent.
    */
   take(accepts: (request: T) => boolean): T | undefined {
-    return this.takeOwed(accepts) ?? this.takeUrgent(accepts);
+    const mayTakeOwed = this.owedAllowance >= 1;
+    const owed = mayTakeOwed ? this.takeOwed(accepts) : undefined;
+    if (owed) {
+      this.owedAllowance -= 1;
+      return owed;
+    }
+    const urgent = this.takeUrgent(accepts);
+    if (!urgent) return mayTakeOwed ? undefined : this.takeOwed(accepts);
+    this.owedAllowance = Math.min(MAX_OWED_ALLOWANCE, this.owedAllowance + OWED_START_RATIO);
+    return urgent;
   }
 
   /** Returns the queued requests, most urgent first, then oldest first. */
@@ -144,7 +165,8 @@
     const late = this.all().filter(({ startBy }) => now > startBy);
     late.forEach((request) => this.remove(request));
     this.queues.forEach((queue) => queue.prune());
-    this.startRate.setWaiting(this.length > 0, now);
+    // What is held back for other hosts doesn't show how many requests this one can start.
+    this.startRate.setWaiting(this.sum((priority) => !this.isBehindPeers(priority)) > 0, now);
     return late;
   }
 
@@ -190,11 +212,20 @@
   /** Returns the part of that rate which more urgent requests leave. */
   private leftPerMs(priority: number, capacity: ServiceCapacity, now: Instant): number {
     const perMs = this.startsPerMs(capacity, now);
-    return Math.max(MIN_FREED_SLOT_RATIO * perMs, perMs - this.urgentArrivalRate(priority, now));
+    const least = MIN_FREED_SLOT_RATIO * perMs;
+    if (this.isBehindPeers(priority))
+      return Math.max(least, MIN_SHARE_RATIO * this.shares.meanShare(true) * perMs);
+    return Math.max(least, perMs - this.arrivals.perMilliAbove(priority, now));
+  }
+
+  /** Whether other hosts report a more urgent request that waits or is refused there. */
+  private isBehindPeers(priority: number): boolean {
+    return holdsBack(priority, this.mostUrgentWaitingAtPeers(), 0);
   }
 
   private takeUrgent(accepts: (request: T) => boolean): T | undefined {
     for (const priority of this.urgencies) {
+      if (this.isBehindPeers(priority)) return undefined;
       const taken = this.queues.get(priority)?.take(accepts);
       if (taken) return taken;
     }
@@ -203,13 +234,13 @@
 
   /** Whether a request at a position is within the starts that one of its groups is owed. */
   private isOwedAt(position: number, { priority, workspace }: ShareGroups): boolean {
-    if (position < this.shares.owedToPriority(priority)) return true;
+    if (position < this.shares.owedToPriority(priority, this.isBehindPeers(priority))) return true;
     return workspace !== undefined && position < this.shares.owedToWorkspace(workspace);
   }
 
   /** Takes a request of a priority or workspace that is owed a start, most starts first. */
   private takeOwed(accepts: (request: T) => boolean): T | undefined {
-    if (!this.shares.isInForce) return undefined;
+    if (!this.shares.isInForce && this.mostUrgentWaitingAtPeers() === undefined) return undefined;
     const owed = this.urgencies.flatMap((priority) => {
       const queue = this.queues.get(priority);
       if (!queue || queue.size === 0) return [];
@@ -218,7 +249,7 @@
         take: () => queue.takeFrom(workspace, accepts),
       }));
       const ofPriority = {
-        count: this.shares.owedToPriority(priority),
+        count: this.shares.owedToPriority(priority, this.isBehindPeers(priority)),
         take: () => queue.take(accepts),
       };
       return [ofPriority, ...workspaces].filter(({ count }) => count > 0);
@@ -256,20 +287,4 @@
     });
     return count;
   }
-
-  /** Returns the recent rate, per millisecond, of more urgent requests that had to wait. */
-  private urgentArrivalRate(priority: number, now: Instant): number {
-    let rate = 0;
-    this.arrivals.forEach((arrivals, other) => {
-      if (other < priority)
-        rate += arrivals.count * Math.exp((arrivals.at - now) / ARRIVAL_DECAY_TIME_MS);
-    });
-    return rate / ARRIVAL_DECAY_TIME_MS;
-  }
-
-  private recordArrival({ priority, arrivedAt }: QueuedRequest): void {
-    const { count, at } = this.arrivals.get(priority) ?? { count: 0, at: arrivedAt };
-    const decayed = count * Math.exp((at - arrivedAt) / ARRIVAL_DECAY_TIME_MS);
-    this.arrivals.set(priority, { count: decayed + 1, at: arrivedAt });
-  }
 }
--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/service-scheduler.ts
@@ -55,8 +55,10 @@
     private readonly context: GatewayContext,
     private readonly isOwner: () => boolean,
     termsSource?: TermsSource,
+    /** Returns the most urgent priority that other hosts report as waiting or refused there. */
+    mostUrgentWaitingAtPeers: () => number | undefined = () => undefined,
   ) {
-    this.queue = new RequestQueue(context.random);
+    this.queue = new RequestQueue(context.random, mostUrgentWaitingAtPeers);
     const coverShare = (): number =>
       Math.min(1, context.settings.bounds.floorShare + COVER_MARGIN_RATIO);
     const { dataCentre } = context.settings;
@@ -69,12 +71,17 @@
     return this.queue.length;
   }
 
+  /** The most urgent priority that waits here or was refused lately; undefined if there is none. */
+  get mostUrgentUnserved(): number | undefined {
+    return this.queue.mostUrgentUnserved(this.context.clock.now());
+  }
+
   /** Chooses an upstream, now or when one has room, and takes a slot there for the request. */
   place(request: QueueablePlacement, requestId: string): Promise<PlacementResult> {
     const now = this.context.clock.now();
     // The queued requests go first; slots also become free by the passing of time.
     if (this.queue.length > 0 && now - this.lastDrainAt >= MIN_DRAIN_INTERVAL_MS) this.drainQueue();
-    const first = this.placeNow(request, requestId);
+    const first = this.queue.isHeldBack(request) ? undefined : this.placeNow(request, requestId);
     if (first) {
       if (first.kind === 'send') this.queue.recordImmediateStart(request);
       return Promise.resolve(first);
@@ -104,7 +111,9 @@
     retryAfter: Millis,
   ): PlacementResult {
     const now = this.context.clock.now();
-    const placed = this.placeNow({ ...request, lastResort: true }, requestId);
+    const placed = this.queue.isHeldBack(request)
+      ? undefined
+      : this.placeNow({ ...request, lastResort: true }, requestId);
     if (placed?.kind === 'send') this.queue.recordStart(request, now);
     return (
       placed ?? { kind: 'refused', why: 'no-room', retryAfter, waited: now - request.arrivedAt }
--- a/src/gateway/service-schedulers.ts
+++ b/src/gateway/service-schedulers.ts
@@ -12,6 +12,11 @@
   termsOf(upstream: GatewayUpstream): UpstreamTerms;
   /** Returns the hosts that share the limits of a service's upstreams. */
   sendingHosts(service: ServiceName, now: Instant): SendingHosts;
+  /**
+   * Returns the most urgent priority that other hosts report as waiting or refused there; undefined
+   * if there is none, or no report is recent enough.
+   */
+  mostUrgentWaitingAtPeers?(service: ServiceName, now: Instant): number | undefined;
 }
 
 /** The schedulers of all services that requests or upstreams have named. */
@@ -32,10 +37,16 @@
     const known = this.schedulers.get(service);
     if (known) return known;
     const { ports } = this;
-    const scheduler = new ServiceScheduler(service, this.context, () => ports.isOwnerOf(service), {
-      termsOf: (upstream) => ports.termsOf(upstream),
-      sendingHosts: (now) => ports.sendingHosts(service, now),
-    });
+    const scheduler = new ServiceScheduler(
+      service,
+      this.context,
+      () => ports.isOwnerOf(service),
+      {
+        termsOf: (upstream) => ports.termsOf(upstream),
+        sendingHosts: (now) => ports.sendingHosts(service, now),
+      },
+      () => ports.mostUrgentWaitingAtPeers?.(service, this.context.clock.now()),
+    );
     this.schedulers.set(service, scheduler);
     return scheduler;
   }
