Bound the memory of a host's callers by an account

Cause: request bodies had a limit of 48 MiB whatever the host's memory, beyond which the newest caller was refused, and complete answers that callers don't read were not counted.

Change: src/core/memory counts bytes by connection. The limit is a quarter of limits.memoryBytes, as the process itself takes about 60 MB and a body is in memory twice for a moment; without the setting it is the former 48 MiB. From half of it no bodies are read; at the limit, or after a second without any release while reading is paused, the caller that holds the most is disconnected, never the newest. Bodies count until the reply, complete answers until the caller's socket has taken them. Relayed requests count in the same account.

--- /dev/null
+++ b/src/core/memory/index.ts
@@ -0,0 +1,1 @@
+export * from './memory-account';
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -2,19 +2,21 @@
 import type { Socket } from 'node:net';
 
 import type { CallerLimits, Instant, Millis } from '../model';
-import { MILLIS_PER_SECOND } from '../model';
 
 import type { CallerRequest } from './forwarding';
 import type { GatewayContext } from './context';
 import { endToEndHeaders } from './headers';
+import type { MemoryGuard } from './memory-guard';
 import { RELAY_HEADERS } from './relay-headers';
-import { writeError, writeRefusal, writeReply, type CallerReply } from './replies';
+import { writeError, writeReply, type CallerReply } from './replies';
 
 /** Functions of the gateway that the caller server calls. */
 export interface CallerService {
   /** Returns the limits on what callers send; undefined until a configuration is known. */
   limits(): CallerLimits | undefined;
   isStopping(): boolean;
+  /** Counts what is buffered for callers, of all servers of this gateway. */
+  readonly memory: MemoryGuard;
   /** Serves a request that has been read completely. */
   serve(request: CallerRequest): Promise<CallerReply>;
   /** Returns how many upstreams may run a request that another gateway has passed on. */
@@ -32,8 +34,6 @@
 };
 /** Time-out in milliseconds of a request whose caller states no remaining time. */
 const DEFAULT_REQUEST_TIMEOUT_MS: Millis = 60_000;
-/** Maximum size in bytes of all request bodies held at once; beyond it requests are refused. */
-const MAX_HELD_BODY_BYTES = 48 * 2 ** 20;
 /** Time-out for a whole request, as a multiple of the time-out for its head. */
 const BODY_TIMEOUT_RATIO = 10;
 const BAD_GATEWAY = 502;
@@ -60,9 +60,6 @@
     { readonly req: IncomingMessage; readonly res: ServerResponse }
   >();
 
-  /** Total size in bytes of the request bodies held. */
-  private heldBytes = 0;
-
   constructor(
     private readonly context: GatewayContext,
     private readonly service: CallerService,
@@ -100,24 +97,25 @@
     const chunks: Buffer[] = [];
     let size = 0;
     const limits = this.service.limits() ?? INITIAL_LIMITS;
+    const { memory } = this.service;
+    const { socket } = req;
     const release = (): void => {
-      this.heldBytes -= size;
+      memory.release(socket, size);
       size = 0;
     };
     res.once('close', release);
     req.on('data', (chunk: Buffer) => {
       size += chunk.length;
-      this.heldBytes += chunk.length;
-      const isTooLarge = size > limits.maxBodyBytes;
-      if (!isTooLarge && this.heldBytes <= MAX_HELD_BODY_BYTES) {
+      memory.add(socket, chunk.length);
+      if (size <= limits.maxBodyBytes) {
         chunks.push(chunk);
+        memory.pauseIfHigh(req);
         return;
       }
       req.pause();
       req.removeAllListeners('data');
       res.setHeader('connection', 'close');
-      if (isTooLarge) writeError(res, CONTENT_TOO_LARGE, 'body-too-large');
-      else writeRefusal(res, 'memory', MILLIS_PER_SECOND);
+      writeError(res, CONTENT_TOO_LARGE, 'body-too-large');
     });
     req.on('end', () => {
       if (res.headersSent) return;
@@ -125,6 +123,8 @@
       void this.service
         .serve(request)
         .then((reply) => {
+          release();
+          this.countAnswer(socket, res, reply);
           this.service.setHeaders?.(res, reply);
           writeReply(res, reply, this.service.isStopping());
         })
@@ -139,6 +139,20 @@
     });
   }
 
+  /** Counts an answer that is complete in memory until the caller's socket has taken it. */
+  private countAnswer(socket: Socket, res: ServerResponse, reply: CallerReply): void {
+    if (reply.kind !== 'answer' || reply.body.kind !== 'whole' || res.destroyed) return;
+    const { memory } = this.service;
+    let size = reply.body.bytes.length;
+    const release = (): void => {
+      memory.release(socket, size);
+      size = 0;
+    };
+    res.once('finish', release);
+    res.once('close', release);
+    memory.add(socket, size);
+  }
+
   /** Builds the request to forward from what the HTTP server has read. */
   private decode(
     req: IncomingMessage,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -20,6 +20,7 @@
 import type { GatewayContext } from './context';
 import { Feeds } from './feeds';
 import type { ReadTiming } from './follower';
+import { MemoryGuard } from './memory-guard';
 import { PathMonitor } from './path-monitor';
 import { PeerRelay } from './peer-relay';
 import { RelayServer } from './relay-server';
@@ -154,6 +155,7 @@
     const callerService: CallerService = {
       limits: () => this.routes?.config.limits,
       isStopping: () => this.stopping,
+      memory: new MemoryGuard(context),
       serve: (request) => this.serve(request),
     };
     this.callers = new CallerServer(context, callerService);
--- a/src/gateway/relay-server.ts
+++ b/src/gateway/relay-server.ts
@@ -26,6 +26,7 @@
     this.reader = new CallerServer(context, {
       limits: () => service.limits(),
       isStopping: () => service.isStopping(),
+      memory: service.memory,
       serve: (request) => service.serve(request),
       relayedMaxRuns: maxRunsOf,
       setHeaders: setRelayHeaders,
--- /dev/null
+++ b/test/gateway/memory.test.ts
@@ -0,0 +1,108 @@
+import { expect } from 'earl';
+import net, { type AddressInfo, type Socket } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+
+import { systemClock } from '../../src/adapters';
+import { headerConventions, parseSettings } from '../../platform';
+import { CallerServer } from '../../src/gateway/caller-server';
+import { MemoryGuard } from '../../src/gateway/memory-guard';
+
+import { recordingTelemetry, settingsText } from './harness';
+
+/** With a quarter for buffers the limit is 1 MB, and reading pauses at half of that. */
+const HOST_MEMORY_BYTES = 4e6;
+const LIMIT_BYTES = 1e6;
+const BODY_BYTES = 200_000;
+
+const pause = (millis: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, millis);
+  });
+
+const until = async (condition: () => boolean): Promise<void> => {
+  const deadline = Date.now() + 10_000;
+  while (!condition()) {
+    if (Date.now() > deadline) throw new Error(`not met in 10 s: ${condition.toString()}`);
+    await pause(10);
+  }
+};
+
+/** Guards against a process that grows without bound while callers send or read slowly. */
+describe('the memory of a caller server', () => {
+  const closers: (() => void)[] = [];
+  afterEach(() => closers.splice(0).forEach((close) => close()));
+
+  const start = async (): Promise<{
+    readonly port: number;
+    readonly memory: MemoryGuard;
+    readonly telemetry: ReturnType<typeof recordingTelemetry>;
+  }> => {
+    const parsed = parseSettings('test', settingsText(8000, 9000)).unsafeCoerce();
+    const settings = { ...parsed, limits: { ...parsed.limits, memoryBytes: HOST_MEMORY_BYTES } };
+    const telemetry = recordingTelemetry();
+    const memory = new MemoryGuard({ settings, telemetry });
+    const { server } = new CallerServer(
+      { settings, clock: systemClock, telemetry, headerConventions, random: () => 0 },
+      {
+        limits: () => undefined,
+        isStopping: () => false,
+        memory,
+        serve: () => Promise.resolve({ kind: 'no-route' }),
+      },
+    );
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    closers.push(() => {
+      server.close();
+      server.closeAllConnections();
+    });
+    return { port: (server.address() as AddressInfo).port, memory, telemetry };
+  };
+
+  /** Opens a connection that sends a head and a part of its body. */
+  const send = (port: number, length: number, sent: number): Socket & { received?: string } => {
+    const socket: Socket & { received?: string } = net.connect(port, '127.0.0.1');
+    socket.on('data', (chunk: Buffer) => {
+      socket.received = (socket.received ?? '') + chunk.toString('latin1');
+    });
+    socket.on('error', () => {});
+    socket.write(`POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ${length}\r\n\r\n`);
+    socket.write('b'.repeat(sent));
+    closers.push(() => socket.destroy());
+    return socket;
+  };
+
+  it('is bounded while many callers stop in the middle of their bodies', async () => {
+    const { port, memory, telemetry } = await start();
+    const slow = Array.from({ length: 20 }, () => send(port, BODY_BYTES, BODY_BYTES - 1));
+    let highest = 0;
+    await until(() => {
+      highest = Math.max(highest, memory.total);
+      return telemetry.events.some(({ name }) => name === 'caller-disconnected');
+    });
+    expect(highest).toBeLessThan(LIMIT_BYTES);
+    expect(highest).toBeGreaterThan(LIMIT_BYTES / 2);
+    await until(() => slow.filter(({ closed }) => closed).length > 3);
+    expect(memory.total).toBeLessThan(LIMIT_BYTES);
+  });
+
+  it('lets a new caller be served while others hold it', async () => {
+    const { port, memory } = await start();
+    Array.from({ length: 5 }, () => send(port, BODY_BYTES, BODY_BYTES - 1));
+    await until(() => memory.total >= LIMIT_BYTES / 2);
+    const newcomer = send(port, 0, 0);
+    await until(() => newcomer.received?.startsWith('HTTP/1.1 404') ?? false);
+  });
+
+  it('is released by bodies that are complete, and by callers that leave', async () => {
+    const { port, memory } = await start();
+    const complete = send(port, BODY_BYTES, BODY_BYTES);
+    await until(() => complete.received?.startsWith('HTTP/1.1 404') ?? false);
+    expect(memory.total).toEqual(0);
+    const leaving = send(port, BODY_BYTES, BODY_BYTES / 2);
+    await until(() => memory.total > 0);
+    leaving.destroy();
+    await until(() => memory.total === 0);
+  });
+});
