Bound pipelined requests, and answer all that were read before a stop

Cause: a caller that pipelines 200 requests had 32 of them at the upstreams at once, all that these take. A stopping gateway closed the connection after its first answer, so that three of four requests that had been read and run got none.

Change: Pipeline keeps the unanswered requests of a connection: eight are served at a time, the others wait, and from 32 waiting ones on nothing more is read. A stopping gateway closes a connection with the answer to the last request that was read. Behind a response that closes the connection nothing is read.

--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -7,6 +7,7 @@
 import type { GatewayContext } from './context';
 import { endToEndHeaders } from './headers';
 import type { MemoryGuard } from './memory-guard';
+import { Pipeline } from './pipeline';
 import { RELAY_HEADERS } from './relay-headers';
 import { writeError, writeReply, type CallerReply } from './replies';
 
@@ -54,11 +55,8 @@
   /** When the head of the last request arrived; -Infinity before the first. */
   lastRequestAt: Instant = Number.NEGATIVE_INFINITY;
 
-  /** The last request on each connection and its response. */
-  private readonly exchanges = new WeakMap<
-    Socket,
-    { readonly req: IncomingMessage; readonly res: ServerResponse }
-  >();
+  /** The unanswered requests of each connection. */
+  private readonly pipelines = new WeakMap<Socket, Pipeline>();
 
   constructor(
     private readonly context: GatewayContext,
@@ -84,16 +82,29 @@
 
   /** Reads and answers a request, which may come from another server than this one's. */
   onRequest(req: IncomingMessage, res: ServerResponse): void {
-    const { clock } = this.context;
-    const arrivedAt = clock.now();
-    this.lastRequestAt = arrivedAt;
+    this.lastRequestAt = this.context.clock.now();
+    const pipeline = this.pipelineOf(req.socket);
+    const isRead = pipeline.add({ req, res }, () => this.read(req, res));
+    if (!isRead) return;
     this.inFlight += 1;
-    this.exchanges.set(req.socket, { req, res });
-    const callerLeft = new AbortController();
     res.once('close', () => {
       this.inFlight -= 1;
-      callerLeft.abort();
     });
+  }
+
+  private pipelineOf(socket: Socket): Pipeline {
+    const known = this.pipelines.get(socket);
+    if (known) return known;
+    const pipeline = new Pipeline(socket);
+    this.pipelines.set(socket, pipeline);
+    return pipeline;
+  }
+
+  /** Reads a request's body, has it served and writes the reply. */
+  private read(req: IncomingMessage, res: ServerResponse): void {
+    const arrivedAt = this.context.clock.now();
+    const callerLeft = new AbortController();
+    res.once('close', () => callerLeft.abort());
     const chunks: Buffer[] = [];
     let size = 0;
     const limits = this.service.limits() ?? INITIAL_LIMITS;
@@ -115,6 +126,7 @@
       req.pause();
       req.removeAllListeners('data');
       res.setHeader('connection', 'close');
+      this.pipelineOf(socket).close();
       writeError(res, CONTENT_TOO_LARGE, 'body-too-large');
     });
     req.on('end', () => {
@@ -126,7 +138,7 @@
           release();
           this.countAnswer(socket, res, reply);
           this.service.setHeaders?.(res, reply);
-          writeReply(res, reply, this.service.isStopping());
+          writeReply(res, reply, this.closesAfter(socket, res, reply));
         })
         .catch((err: unknown) => {
           this.context.telemetry.event('request-broke', {
@@ -139,6 +151,18 @@
     });
   }
 
+  /**
+   * Returns whether the connection closes after a response, and stops reading requests behind it if
+   * so. A stopping gateway first answers what it has read.
+   */
+  private closesAfter(socket: Socket, res: ServerResponse, reply: CallerReply): boolean {
+    const pipeline = this.pipelineOf(socket);
+    const closes = this.service.isStopping() && pipeline.isLast(res);
+    const isUnframed = reply.kind === 'answer' && reply.head.endsWithConnection;
+    if (closes || isUnframed || reply.kind === 'nobody') pipeline.close();
+    return closes;
+  }
+
   /** Counts an answer that is complete in memory until the caller's socket has taken it. */
   private countAnswer(socket: Socket, res: ServerResponse, reply: CallerReply): void {
     if (reply.kind !== 'answer' || reply.body.kind !== 'whole' || res.destroyed) return;
@@ -199,7 +223,7 @@
       socket.destroy();
       return;
     }
-    const last = this.exchanges.get(socket);
+    const last = this.pipelines.get(socket)?.last;
     if (last?.req.complete && !last.res.writableFinished) {
       last.res.once('finish', () => this.onClientError(err, socket));
       return;
