Bound the body bytes that a host has in flight at one upstream

Cause: an upstream got as many of the largest bodies as its slots and queue take.

Change: an upstream has no capacity for a request whose body would take the bodies that this host has in flight there above 4 MiB; one body alone may be of any size, and requests without a body are not concerned. The bound is for each host; hosts don't share it.

--- a/src/core/placement/expected-cost.ts
+++ b/src/core/placement/expected-cost.ts
@@ -51,6 +51,12 @@
  * which upstreams shed.
  */
 const MAX_QUEUED_COUNT = 10;
+/**
+ * Maximum size in bytes of the request bodies that this host has in flight at one upstream: four of
+ * the largest that configurations allow by default. Load pattern: callers send the largest bodies
+ * to all slots of an upstream and its queue at once.
+ */
+const MAX_BODY_BYTES_IN_FLIGHT = 4 * 2 ** 20;
 /** Ratio of the time to the deadline that a request may spend queued at an upstream. */
 const MAX_QUEUE_TIME_RATIO = 0.4;
 /** Returns the time in milliseconds that a request would wait for a slot at an upstream. */
@@ -64,12 +70,20 @@
   now: Instant,
 ): boolean => stats.load(now, meanLatency) < stats.upstream.slots;
 
+/** Returns whether the upstream has room for the request's body; one alone may be of any size. */
+const hasRoomForBody = (stats: UpstreamStats, { bodyBytes = 0 }: PlacementRequest): boolean => {
+  if (bodyBytes === 0) return true;
+  const inFlight = stats.bodyBytesInFlight;
+  return inFlight === 0 || inFlight + bodyBytes <= MAX_BODY_BYTES_IN_FLIGHT;
+};
+
 /** Returns whether the upstream has a free slot, or room to queue for one in time. */
 export const hasCapacity = (
   stats: UpstreamStats,
   request: PlacementRequest,
   now: Instant,
 ): boolean => {
+  if (!hasRoomForBody(stats, request)) return false;
   const { slots } = stats.upstream;
   const load = stats.load(now, request.meanLatency);
   const wait = queueTime(load, slots, request.meanLatency);
--- a/src/core/placement/placement.ts
+++ b/src/core/placement/placement.ts
@@ -9,6 +9,8 @@
   readonly retryable: boolean;
   /** Mean length in bytes of the answer bodies on the request's route. */
   readonly meanBytes: number;
+  /** Size in bytes of the request's body; 0 if left out. */
+  readonly bodyBytes?: number;
   /** Mean latency in milliseconds of the answers on the request's route. */
   readonly meanLatency: Millis;
   /** Milliseconds from now within which an answer meets the route's latency objective. */
--- a/src/core/placement/upstream-stats.ts
+++ b/src/core/placement/upstream-stats.ts
@@ -27,6 +27,7 @@
   readonly startedAt: Instant;
   /** Time from which the answer is overdue, which is the only sign of an upstream that hangs. */
   readonly overdueAt: Instant;
+  readonly bodyBytes: number;
 }
 
 /** Statistics that one node keeps of one run of an upstream. */
@@ -98,8 +99,18 @@
     return this.inFlightRequests.size + count * Math.exp(-(now - at) / Math.max(1, meanLatency));
   }
 
-  attemptStarted(requestId: string, now: Instant, overdueAt: Instant): void {
-    this.inFlightRequests.set(requestId, { startedAt: now, overdueAt });
+  /** Total size in bytes of the bodies of this node's requests in flight at the upstream. */
+  get bodyBytesInFlight(): number {
+    let sum = 0;
+    this.inFlightRequests.forEach(({ bodyBytes }) => {
+      sum += bodyBytes;
+    });
+    return sum;
+  }
+
+  /** Records a request that is sent, with the size in bytes of its body. */
+  attemptStarted(requestId: string, now: Instant, overdueAt: Instant, bodyBytes = 0): void {
+    this.inFlightRequests.set(requestId, { startedAt: now, overdueAt, bodyBytes });
     this.lastSentAt = now;
     this.terms.recordSend(now);
   }
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -280,6 +280,7 @@
     return {
       retryable: this.idempotent && this.runs + 1 < this.maxRuns,
       tried: this.tried,
+      bodyBytes: this.request.body.length,
       meanBytes: this.scheduler.balancer.meanBytes(this.route.name),
       meanLatency,
       objective: arrivedAt + this.route.latencyObjective - now,
--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/service-scheduler.ts
@@ -198,6 +198,7 @@
           requestId,
           now,
           now + this.balancer.overdueAfter(request.route),
+          request.bodyBytes,
         );
         return placement;
       case 'none':
