--- a/src/core/placement/placement.ts
+++ b/src/core/placement/placement.ts
@@ -9,6 +9,8 @@
   readonly retryable: boolean;
   /** Length in bytes of the request's body plus the mean length of its route's answer bodies. */
   readonly meanBytes: number;
+  /** Size in bytes of the request's body; 0 if left out. */
+  readonly bodyBytes?: number;
   /** Mean latency in milliseconds of the answers on the request's route. */
   readonly meanLatency: Millis;
   /** Milliseconds from now within which an answer meets the route's latency objective. */
--- a/src/core/placement/upstream-stats.ts
+++ b/src/core/placement/upstream-stats.ts
@@ -31,6 +31,14 @@
   readonly waiting: number;
 }
 
+/** Properties of a request that is sent to an upstream. */
+interface SentRequest {
+  /** Mean latency of its route. */
+  readonly meanLatency: Millis;
+  /** Size of its body in bytes. */
+  readonly bodyBytes: number;
+}
+
 /** A request sent to an upstream that has not ended. */
 interface InFlightRequest {
   readonly startedAt: Instant;
@@ -40,6 +48,7 @@
   readonly level: number;
   /** The same, counting only this node's requests. */
   readonly ownLevel: number;
+  readonly bodyBytes: number;
 }
 
 /** Statistics that one node keeps of one run of an upstream. */
@@ -144,17 +153,26 @@
     return this.inFlightRequests.size + count * Math.exp(-(now - at) / Math.max(1, meanLatency));
   }
 
-  /** Records a request sent now; `meanLatency` is that of its route. */
+  /** Total size in bytes of the bodies of this node's requests in flight at the upstream. */
+  get bodyBytesInFlight(): number {
+    let sum = 0;
+    this.inFlightRequests.forEach(({ bodyBytes }) => {
+      sum += bodyBytes;
+    });
+    return sum;
+  }
+
+  /** Records a request sent now; `meanLatency` is that of its route, `bodyBytes` its body's size. */
   attemptStarted(
     requestId: string,
     now: Instant,
     overdueAt: Instant,
-    meanLatency: Millis = 0,
+    { meanLatency = 0, bodyBytes = 0 }: Partial<SentRequest> = {},
   ): void {
     const { slots } = this.entry;
     const level = this.load(now, meanLatency) + 1 - slots;
     const ownLevel = this.inFlightRequests.size + 1 - slots;
-    this.inFlightRequests.set(requestId, { startedAt: now, overdueAt, level, ownLevel });
+    this.inFlightRequests.set(requestId, { startedAt: now, overdueAt, level, ownLevel, bodyBytes });
     this.lastSentAt = now;
     this.terms.recordSend(now);
   }
--- a/src/core/waiting/request-queue.ts
+++ b/src/core/waiting/request-queue.ts
@@ -1,37 +1,31 @@
 import type { Instant, Millis, WorkspaceName } from '../../model';
 import { FairQueue } from '../admission';
 
-import { MinimumShares, type ShareGroups } from './minimum-shares';
+import { ArrivalRates } from './arrival-rates';
+import { holdsBack } from './hold-back';
+import { MIN_SHARE_RATIO, MinimumShares, type ShareGroups } from './minimum-shares';
+import { Refusals } from './refusals';
+import { StartRate } from './start-rate';
+import type { QueueDecision, QueuedRequest, ServiceCapacity } from './types';
 
-/** A request in the queue of a service. */
-export interface QueuedRequest extends ShareGroups {
-  readonly arrivedAt: Instant;
-  /**
-   * Latest time at which it is still useful to start the request; past it, the request is removed.
-   */
-  readonly startBy: Instant;
-}
-
-/** The decision to queue a request or to refuse it; `retryAfter` is in milliseconds. */
-export type QueueDecision =
-  { readonly kind: 'wait' } | { readonly kind: 'refuse'; readonly retryAfter: Millis };
-
-/** The capacity of a service when a request would have to wait. */
-export interface ServiceCapacity {
-  /** Expected number of slots at healthy upstreams; it need not be whole. */
-  readonly slots: number;
-  /** Mean time in milliseconds that a request holds a slot. */
-  readonly meanLatency: Millis;
-}
-
-/** Shortest time in milliseconds after which a refused caller is told to retry. */
-const MIN_RETRY_AFTER_MS: Millis = 100;
-
-/** Time constant in milliseconds of the exponential decay of the arrival rate. */
-const ARRIVAL_DECAY_TIME_MS: Millis = 2000;
 /** Lowest ratio of the freed slots assumed to be left for less urgent requests. */
 const MIN_FREED_SLOT_RATIO = 0.02;
 
+/**
+ * Ratio of the expected wait: a request may wait if it would start in time after that wait. At 1 a
+ * quarter of the refused requests of a long overload wait first, as the estimate varies.
+ */
+const SAFE_WAIT_RATIO = 1.2;
+/** Ratio of the expected wait: a queued request is refused if even that wait makes it late. */
+const CERTAIN_WAIT_RATIO = 0.75;
+
+/**
+ * Number of owed starts allowed for each other start, so that they take a third of all at most when
+ * a host overestimates the mean share.
+ */
+const OWED_START_RATIO = 0.5;
+/** Largest number of owed starts in succession while others wait. */
+const MAX_OWED_ALLOWANCE = 4;
 /** Stands for the workspace of requests without one. */
 const NO_WORKSPACE: WorkspaceName = '';
 /** Weight of every workspace in the order of the queue. */
@@ -52,42 +46,80 @@
 
   private urgencies: readonly number[] = [];
 
-  /** Exponentially decayed number of requests that had to wait, as of `at`, by priority. */
-  private readonly arrivals = new Map<number, { readonly count: number; readonly at: Instant }>();
+  private readonly arrivals = new ArrivalRates();
+
+  /** Number of owed starts that may go before the others. */
+  private owedAllowance = MAX_OWED_ALLOWANCE;
 
   private readonly shares = new MinimumShares();
 
+  private readonly startRate = new StartRate();
+
+  private readonly refusals: Refusals;
+
+  /**
+   * `random` returns a number from 0 up to but excluding 1, and `mostUrgentWaitingAtPeers` the most
+   * urgent priority that waits or is refused at other hosts, undefined if none is known.
+   */
+  constructor(
+    random: () => number = () => 0,
+    private readonly mostUrgentWaitingAtPeers: () => number | undefined = () => undefined,
+  ) {
+    this.refusals = new Refusals(random);
+  }
+
   get length(): number {
     return this.sum(() => true);
   }
 
   /**
-   * Returns the time in milliseconds until a request arriving now would start, if slots are freed
-   * at the mean rate and more urgent requests keep arriving at their current rate.
+   * Returns the time in milliseconds until a request arriving now would start, if requests go on
+   * being started at the measured rate and more urgent ones keep arriving at their current rate.
    */
   expectedWait(groups: ShareGroups, capacity: ServiceCapacity, now: Instant): Millis {
-    const { priority } = groups;
-    const workspace = workspaceOf(groups);
-    const freedPerMs = Math.max(1, capacity.slots) / Math.max(1, capacity.meanLatency);
-    const queue = this.queues.get(priority);
-    if (this.isNextOwed(groups)) return 1 / freedPerMs;
-    const startCount = queue
-      ? queue.startsUntil(workspace, WORKSPACE_WEIGHT, queue.length(workspace))
-      : 1;
-    const leftPerMs = Math.max(
-      MIN_FREED_SLOT_RATIO * freedPerMs,
-      freedPerMs - this.urgentArrivalRate(priority, now),
-    );
-    return (this.sum((other) => other < priority) + startCount) / leftPerMs;
+    const position = this.queues.get(groups.priority)?.length(workspaceOf(groups)) ?? 0;
+    return this.waitAt(position, groups, capacity, now);
   }
 
   /** Decides whether a request may wait and counts it as arrived; it is not added to the queue. */
   admit(request: QueuedRequest, capacity: ServiceCapacity): QueueDecision {
-    this.shares.recordArrival(request, request.arrivedAt);
-    const wait = this.expectedWait(request, capacity, request.arrivedAt);
-    this.recordArrival(request);
-    if (request.arrivedAt + wait <= request.startBy) return { kind: 'wait' };
-    return { kind: 'refuse', retryAfter: Math.max(MIN_RETRY_AFTER_MS, wait) };
+    const { arrivedAt } = request;
+    this.shares.recordArrival(request, arrivedAt, this.isBehindPeers(request.priority));
+    const wait = this.expectedWait(request, capacity, arrivedAt);
+    this.arrivals.record(request.priority, arrivedAt);
+    if (arrivedAt + SAFE_WAIT_RATIO * wait <= request.startBy) return { kind: 'wait' };
+    return { kind: 'refuse', retryAfter: this.retryAfter(request, capacity, arrivedAt) };
+  }
+
+  /** Returns the Retry-After in milliseconds of a request that is refused now. */
+  retryAfter(groups: ShareGroups, capacity: ServiceCapacity, now: Instant): Millis {
+    const wait = this.expectedWait(groups, capacity, now);
+    const interval = 1 / this.leftPerMs(groups.priority, capacity, now);
+    return this.refusals.retryAfter(groups.priority, wait, interval, now);
+  }
+
+  /** Whether a request has to wait although there may be room for it, for other hosts' sake. */
+  isHeldBack({ priority, workspace }: ShareGroups): boolean {
+    const owed = this.shares.owedToPriority(priority, true);
+    const owedToWorkspace = workspace === undefined ? 0 : this.shares.owedToWorkspace(workspace);
+    return holdsBack(priority, this.mostUrgentWaitingAtPeers(), owed + owedToWorkspace);
+  }
+
+  /**
+   * Returns the most urgent priority that waits here or was refused lately, which other hosts hold
+   * less urgent requests back for; undefined if there is none.
+   */
+  mostUrgentUnserved(now: Instant): number | undefined {
+    const waiting = this.mostUrgentWaiting;
+    const unserved = this.refusals.recentPriorities(now);
+    if (waiting === undefined && unserved.length === 0) return undefined;
+    return Math.min(waiting ?? Number.POSITIVE_INFINITY, ...unserved);
+  }
+
+  /** The most urgent priority that waits here; undefined if nothing does. */
+  get mostUrgentWaiting(): number | undefined {
+    const waiting = this.urgencies.filter((priority) => this.queues.get(priority)?.size);
+    return waiting.length > 0 ? Math.min(...waiting) : undefined;
   }
 
   /** Records a request that started on arrival. */
@@ -99,9 +131,11 @@
   /** Records that a request which had to wait is sent. */
   recordStart(request: QueuedRequest, now: Instant): void {
     this.shares.recordStart(request, now);
+    this.startRate.recordStart(now);
   }
 
   add(request: T): void {
+    if (!this.isBehindPeers(request.priority)) this.startRate.setWaiting(true, request.arrivedAt);
     this.queueOf(request.priority).add(request, ({ arrivedAt }) => request.arrivedAt < arrivedAt);
   }
 
@@ -114,7 +148,16 @@
    * for it if it is sent.
    */
   take(accepts: (request: T) => boolean): T | undefined {
-    return this.takeOwed(accepts) ?? this.takeUrgent(accepts);
+    const mayTakeOwed = this.owedAllowance >= 1;
+    const owed = mayTakeOwed ? this.takeOwed(accepts) : undefined;
+    if (owed) {
+      this.owedAllowance -= 1;
+      return owed;
+    }
+    const urgent = this.takeUrgent(accepts);
+    if (!urgent) return mayTakeOwed ? undefined : this.takeOwed(accepts);
+    this.owedAllowance = Math.min(MAX_OWED_ALLOWANCE, this.owedAllowance + OWED_START_RATIO);
+    return urgent;
   }
 
   /** Returns the queued requests, most urgent first, then oldest first. */
@@ -129,28 +172,82 @@
     const late = this.all().filter(({ startBy }) => now > startBy);
     late.forEach((request) => this.remove(request));
     this.queues.forEach((queue) => queue.prune());
+    // What is held back for other hosts doesn't show how many requests this one can start.
+    this.startRate.setWaiting(this.sum((priority) => !this.isBehindPeers(priority)) > 0, now);
     return late;
   }
 
+  /**
+   * Removes and returns the requests that are not expected to start in time any more, because more
+   * urgent ones have come since or fewer requests are started than was expected.
+   */
+  removeHopeless(capacityOf: (request: T) => ServiceCapacity, now: Instant): readonly T[] {
+    return this.urgencies.flatMap((priority) => {
+      const queue = this.queues.get(priority);
+      if (!queue) return [];
+      // Starts from the end, as a removed request shortens only the waits behind it.
+      return [...queue.positions()].reverse().flatMap(([request, position]) => {
+        const wait = this.waitAt(position, request, capacityOf(request), now);
+        if (now + CERTAIN_WAIT_RATIO * wait <= request.startBy) return [];
+        queue.remove(request);
+        return [request];
+      });
+    });
+  }
+
+  /** Returns the expected wait of a request at a position among those of its workspace. */
+  private waitAt(
+    position: number,
+    groups: ShareGroups,
+    capacity: ServiceCapacity,
+    now: Instant,
+  ): Millis {
+    const { priority } = groups;
+    if (this.isOwedAt(position, groups)) return 1 / this.startsPerMs(capacity, now);
+    const startCount =
+      this.queues.get(priority)?.startsUntil(workspaceOf(groups), WORKSPACE_WEIGHT, position) ?? 1;
+    const ahead = this.sum((other) => other < priority);
+    return (ahead + startCount) / this.leftPerMs(priority, capacity, now);
+  }
+
+  /** Returns the rate, per millisecond, at which this host is expected to start requests. */
+  private startsPerMs({ slots, meanLatency }: ServiceCapacity, now: Instant): number {
+    const latency = Math.max(1, meanLatency);
+    return this.startRate.perMilli(Math.max(1, slots) / latency, latency, now);
+  }
+
+  /** Returns the part of that rate which more urgent requests leave. */
+  private leftPerMs(priority: number, capacity: ServiceCapacity, now: Instant): number {
+    const perMs = this.startsPerMs(capacity, now);
+    const least = MIN_FREED_SLOT_RATIO * perMs;
+    if (this.isBehindPeers(priority))
+      return Math.max(least, MIN_SHARE_RATIO * this.shares.meanShare(true) * perMs);
+    return Math.max(least, perMs - this.arrivals.perMilliAbove(priority, now));
+  }
+
+  /** Whether other hosts report a more urgent request that waits or is refused there. */
+  private isBehindPeers(priority: number): boolean {
+    return holdsBack(priority, this.mostUrgentWaitingAtPeers(), 0);
+  }
+
   private takeUrgent(accepts: (request: T) => boolean): T | undefined {
     for (const priority of this.urgencies) {
+      if (this.isBehindPeers(priority)) return undefined;
       const taken = this.queues.get(priority)?.take(accepts);
       if (taken) return taken;
     }
     return undefined;
   }
 
-  /** Whether an arriving request is within the starts that one of its groups is owed. */
-  private isNextOwed({ priority, workspace }: ShareGroups): boolean {
-    const queue = this.queues.get(priority);
-    if ((queue?.size ?? 0) < this.shares.owedToPriority(priority)) return true;
-    if (workspace === undefined) return false;
-    return (queue?.length(workspace) ?? 0) < this.shares.owedToWorkspace(workspace);
+  /** Whether a request at a position is within the starts that one of its groups is owed. */
+  private isOwedAt(position: number, { priority, workspace }: ShareGroups): boolean {
+    if (position < this.shares.owedToPriority(priority, this.isBehindPeers(priority))) return true;
+    return workspace !== undefined && position < this.shares.owedToWorkspace(workspace);
   }
 
   /** Takes a request of a priority or workspace that is owed a start, most starts first. */
   private takeOwed(accepts: (request: T) => boolean): T | undefined {
-    if (!this.shares.isInForce) return undefined;
+    if (!this.shares.isInForce && this.mostUrgentWaitingAtPeers() === undefined) return undefined;
     const owed = this.urgencies.flatMap((priority) => {
       const queue = this.queues.get(priority);
       if (!queue || queue.size === 0) return [];
@@ -159,7 +256,7 @@
         take: () => queue.takeFrom(workspace, accepts),
       }));
       const ofPriority = {
-        count: this.shares.owedToPriority(priority),
+        count: this.shares.owedToPriority(priority, this.isBehindPeers(priority)),
         take: () => queue.take(accepts),
       };
       return [ofPriority, ...workspaces].filter(({ count }) => count > 0);
@@ -197,20 +294,4 @@
     });
     return count;
   }
-
-  /** Returns the recent rate, per millisecond, of more urgent requests that had to wait. */
-  private urgentArrivalRate(priority: number, now: Instant): number {
-    let rate = 0;
-    this.arrivals.forEach((arrivals, other) => {
-      if (other < priority)
-        rate += arrivals.count * Math.exp((arrivals.at - now) / ARRIVAL_DECAY_TIME_MS);
-    });
-    return rate / ARRIVAL_DECAY_TIME_MS;
-  }
-
-  private recordArrival({ priority, arrivedAt }: QueuedRequest): void {
-    const { count, at } = this.arrivals.get(priority) ?? { count: 0, at: arrivedAt };
-    const decayed = count * Math.exp((at - arrivedAt) / ARRIVAL_DECAY_TIME_MS);
-    this.arrivals.set(priority, { count: decayed + 1, at: arrivedAt });
-  }
 }
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -2,19 +2,22 @@
 import type { Socket } from 'node:net';
 
 import type { CallerLimits, Instant, Millis } from '../model';
-import { MILLIS_PER_SECOND } from '../model';
 
 import type { CallerRequest } from './forwarding';
 import type { GatewayContext } from './context';
 import { endToEndHeaders } from './headers';
+import type { MemoryGuard } from './memory-guard';
+import { Pipeline } from './pipeline';
 import { RELAY_HEADERS } from './relay-headers';
-import { writeError, writeRefusal, writeReply, type CallerReply } from './replies';
+import { writeError, writeReply, type CallerReply } from './replies';
 
 /** Functions of the gateway that the caller server calls. */
 export interface CallerService {
   /** Returns the limits on what callers send; undefined until a configuration is known. */
   limits(): CallerLimits | undefined;
   isStopping(): boolean;
+  /** Counts what is buffered for callers, of all servers of this gateway. */
+  readonly memory: MemoryGuard;
   /** Serves a request that has been read completely. */
   serve(request: CallerRequest): Promise<CallerReply>;
   /** Returns how many upstreams may run a request that another gateway has passed on. */
@@ -32,8 +35,6 @@
 };
 /** Time-out in milliseconds of a request whose caller states no remaining time. */
 const DEFAULT_REQUEST_TIMEOUT_MS: Millis = 60_000;
-/** Maximum size in bytes of all request bodies held at once; beyond it requests are refused. */
-const MAX_HELD_BODY_BYTES = 48 * 2 ** 20;
 /** Time-out for a whole request, as a multiple of the time-out for its head. */
 const BODY_TIMEOUT_RATIO = 10;
 const BAD_GATEWAY = 502;
@@ -54,14 +55,8 @@
   /** When the head of the last request arrived; -Infinity before the first. */
   lastRequestAt: Instant = Number.NEGATIVE_INFINITY;
 
-  /** The last request on each connection and its response. */
-  private readonly exchanges = new WeakMap<
-    Socket,
-    { readonly req: IncomingMessage; readonly res: ServerResponse }
-  >();
-
-  /** Total size in bytes of the request bodies held. */
-  private heldBytes = 0;
+  /** The unanswered requests of each connection. */
+  private readonly pipelines = new WeakMap<Socket, Pipeline>();
 
   constructor(
     private readonly context: GatewayContext,
@@ -87,37 +82,52 @@
 
   /** Reads and answers a request, which may come from another server than this one's. */
   onRequest(req: IncomingMessage, res: ServerResponse): void {
-    const { clock } = this.context;
-    const arrivedAt = clock.now();
-    this.lastRequestAt = arrivedAt;
+    this.lastRequestAt = this.context.clock.now();
+    const pipeline = this.pipelineOf(req.socket);
+    const isRead = pipeline.add({ req, res }, () => this.read(req, res));
+    if (!isRead) return;
     this.inFlight += 1;
-    this.exchanges.set(req.socket, { req, res });
-    const callerLeft = new AbortController();
     res.once('close', () => {
       this.inFlight -= 1;
-      callerLeft.abort();
     });
+  }
+
+  private pipelineOf(socket: Socket): Pipeline {
+    const known = this.pipelines.get(socket);
+    if (known) return known;
+    const pipeline = new Pipeline(socket);
+    this.pipelines.set(socket, pipeline);
+    return pipeline;
+  }
+
+  /** Reads a request's body, has it served and writes the reply. */
+  private read(req: IncomingMessage, res: ServerResponse): void {
+    const arrivedAt = this.context.clock.now();
+    const callerLeft = new AbortController();
+    res.once('close', () => callerLeft.abort());
     const chunks: Buffer[] = [];
     let size = 0;
     const limits = this.service.limits() ?? INITIAL_LIMITS;
+    const { memory } = this.service;
+    const { socket } = req;
     const release = (): void => {
-      this.heldBytes -= size;
+      memory.release(socket, size);
       size = 0;
     };
     res.once('close', release);
     req.on('data', (chunk: Buffer) => {
       size += chunk.length;
-      this.heldBytes += chunk.length;
-      const isTooLarge = size > limits.maxBodyBytes;
-      if (!isTooLarge && this.heldBytes <= MAX_HELD_BODY_BYTES) {
+      memory.add(socket, chunk.length);
+      if (size <= limits.maxBodyBytes) {
         chunks.push(chunk);
+        memory.pauseIfHigh(req);
         return;
       }
       req.pause();
       req.removeAllListeners('data');
       res.setHeader('connection', 'close');
-      if (isTooLarge) writeError(res, CONTENT_TOO_LARGE, 'body-too-large');
-      else writeRefusal(res, 'memory', MILLIS_PER_SECOND);
+      this.pipelineOf(socket).close();
+      writeError(res, CONTENT_TOO_LARGE, 'body-too-large');
     });
     req.on('end', () => {
       if (res.headersSent) return;
@@ -125,8 +135,10 @@
       void this.service
         .serve(request)
         .then((reply) => {
+          release();
+          this.countAnswer(socket, res, reply);
           this.service.setHeaders?.(res, reply);
-          writeReply(res, reply, this.service.isStopping());
+          writeReply(res, reply, this.closesAfter(socket, res, reply));
         })
         .catch((err: unknown) => {
           this.context.telemetry.event('request-broke', {
@@ -139,6 +151,32 @@
     });
   }
 
+  /**
+   * Returns whether the connection closes after a response, and stops reading requests behind it if
+   * so. A stopping gateway first answers what it has read.
+   */
+  private closesAfter(socket: Socket, res: ServerResponse, reply: CallerReply): boolean {
+    const pipeline = this.pipelineOf(socket);
+    const closes = this.service.isStopping() && pipeline.isLast(res);
+    const isUnframed = reply.kind === 'answer' && reply.head.endsWithConnection;
+    if (closes || isUnframed || reply.kind === 'nobody') pipeline.close();
+    return closes;
+  }
+
+  /** Counts an answer that is complete in memory until the caller's socket has taken it. */
+  private countAnswer(socket: Socket, res: ServerResponse, reply: CallerReply): void {
+    if (reply.kind !== 'answer' || reply.body.kind !== 'whole' || res.destroyed) return;
+    const { memory } = this.service;
+    let size = reply.body.bytes.length;
+    const release = (): void => {
+      memory.release(socket, size);
+      size = 0;
+    };
+    res.once('finish', release);
+    res.once('close', release);
+    memory.add(socket, size);
+  }
+
   /** Builds the request to forward from what the HTTP server has read. */
   private decode(
     req: IncomingMessage,
@@ -185,7 +223,7 @@
       socket.destroy();
       return;
     }
-    const last = this.exchanges.get(socket);
+    const last = this.pipelines.get(socket)?.last;
     if (last?.req.complete && !last.res.writableFinished) {
       last.res.once('finish', () => this.onClientError(err, socket));
       return;
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -259,8 +259,8 @@
         'failed',
         this.priority,
       );
-    if (!isAllowed) return this.finalReply('no-repeat-left', NO_UPSTREAM_RETRY_AFTER_MS);
-    return undefined;
+    if (isAllowed) return undefined;
+    return this.finalReply('no-repeat-left', this.scheduler.retryAfter(this.placementRequest()));
   }
 
   /** Returns the reply when no further attempt is made. */
@@ -280,6 +280,7 @@
     return {
       retryable: this.idempotent && this.runs + 1 < this.maxRuns,
       tried: this.tried,
+      bodyBytes: this.request.body.length,
       meanBytes: this.request.body.length + this.scheduler.balancer.meanBytes(this.route.name),
       meanLatency,
       objective: arrivedAt + this.route.latencyObjective - now,
--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/service-scheduler.ts
@@ -48,7 +48,7 @@
 
   readonly retryBudget: WindowedRetryBudget;
 
-  private readonly queue = new RequestQueue<QueuedPlacement>();
+  private readonly queue: RequestQueue<QueuedPlacement>;
 
   private readonly refused = new RefusedPriorities();
 
@@ -61,7 +61,10 @@
     private readonly context: GatewayContext,
     private readonly isOwner: () => boolean,
     termsSource?: TermsSource,
+    /** Returns the most urgent priority that other hosts report as waiting or refused there. */
+    mostUrgentWaitingAtPeers: () => number | undefined = () => undefined,
   ) {
+    this.queue = new RequestQueue(context.random, mostUrgentWaitingAtPeers);
     const coverShare = (): number =>
       Math.min(1, context.settings.bounds.floorShare + COVER_MARGIN_RATIO);
     const { dataCentre } = context.settings;
@@ -77,7 +80,7 @@
 
   /** Returns the most urgent priority that waits here or was refused in the last half second. */
   mostUrgentUnserved(now: Instant): UnservedPriority | undefined {
-    return this.refused.mostUrgent(this.queue.all()[0]?.priority, now);
+    return this.refused.mostUrgent(this.queue.mostUrgentWaiting, now);
   }
 
   /** Chooses an upstream, now or when one has room, and takes a slot there for the request. */
@@ -91,7 +94,7 @@
     const now = this.context.clock.now();
     // The queued requests go first; slots also become free by the passing of time.
     if (this.queue.length > 0 && now - this.lastDrainAt >= MIN_DRAIN_INTERVAL_MS) this.drainQueue();
-    const first = this.placeNow(request, requestId);
+    const first = this.queue.isHeldBack(request) ? undefined : this.placeNow(request, requestId);
     if (first) {
       if (first.kind === 'send') this.queue.recordImmediateStart(request);
       return Promise.resolve(first);
@@ -103,12 +106,7 @@
     return new Promise((resolve) => {
       const queued = new QueuedPlacement(request, {
         attempt: () => this.placeNow(request, requestId),
-        lastResort: () =>
-          this.placeLast(
-            request,
-            requestId,
-            this.queue.expectedWait(request, this.capacityFor(request), this.context.clock.now()),
-          ),
+        lastResort: () => this.placeLast(request, requestId, this.retryAfter(request)),
         leave: (placed) => {
           this.queue.remove(queued);
           resolve(placed);
@@ -126,13 +124,20 @@
     retryAfter: Millis,
   ): PlacementResult {
     const now = this.context.clock.now();
-    const placed = this.placeNow({ ...request, lastResort: true }, requestId);
+    const placed = this.queue.isHeldBack(request)
+      ? undefined
+      : this.placeNow({ ...request, lastResort: true }, requestId);
     if (placed?.kind === 'send') this.queue.recordStart(request, now);
     return (
       placed ?? { kind: 'refused', why: 'no-room', retryAfter, waited: now - request.arrivedAt }
     );
   }
 
+  /** Returns the Retry-After in milliseconds of a request that is refused now. */
+  retryAfter(request: QueueablePlacement): Millis {
+    return this.queue.retryAfter(request, this.capacityFor(request), this.context.clock.now());
+  }
+
   private capacityFor({ route }: QueueablePlacement): ServiceCapacity {
     return {
       slots: this.balancer.slots(this.context.clock.now()),
@@ -206,7 +211,7 @@
           requestId,
           now,
           now + this.balancer.overdueAfter(request.route),
-          request.meanLatency,
+          request,
         );
         return placement;
       case 'none':
@@ -227,11 +232,24 @@
     }
   }
 
+  /** Ends the waiting of requests for which no start in time can be expected any more. */
+  private refuseHopeless(): void {
+    const now = this.context.clock.now();
+    const slots = this.balancer.slots(now);
+    this.queue
+      .removeHopeless(
+        ({ route }) => ({ slots, meanLatency: this.balancer.meanLatency(route) }),
+        now,
+      )
+      .forEach((queued) => queued.expire());
+  }
+
   /** Drains the queue at intervals until it is empty. */
   private scheduleDrain(): void {
     if (this.timer) return;
     this.timer = setTimeout(() => {
       this.timer = undefined;
+      this.refuseHopeless();
       this.drainQueue();
       if (this.queue.length > 0) this.scheduleDrain();
     }, QUEUE_POLL_MS);
--- a/test/core/placement/queue-limit.test.ts
+++ b/test/core/placement/queue-limit.test.ts
@@ -72,7 +72,7 @@
     const server = servers.get(stats.upstream.id);
     if (!server) throw new Error('expected a simulated upstream of the chosen id, got none');
     sent += 1;
-    stats.attemptStarted(id, time.now, time.now + 5000, request.meanLatency);
+    stats.attemptStarted(id, time.now, time.now + 5000, request);
     const load = () =>
       behaviour.reportsLoad
         ? { running: server.running, waiting: server.waiting.length }
