--- a/src/core/quota/store-grant.ts
+++ b/src/core/quota/store-grant.ts
@@ -9,7 +9,10 @@
  * asked for in advance.
  */
 const ASK_PAUSE_RATIO = 0.5;
-/** Shortest such time in milliseconds: hundreds of hosts may share a workspace above its quota. */
+/**
+ * The same in milliseconds for a host that does not ask in advance: hundreds of hosts may share a
+ * workspace above its quota.
+ */
 const MIN_ASK_PAUSE_MS: Millis = 200;
 
 /** Adds the tokens of an answer to the stock, and what it says of the partition. */
@@ -36,7 +39,8 @@
       return;
     case 'short': {
       const { horizon } = ask;
-      const pause = Math.max(MIN_ASK_PAUSE_MS, ASK_PAUSE_RATIO * horizon, nextIn - horizon);
+      const least = stock.isReserving(now) ? ASK_PAUSE_RATIO * horizon : MIN_ASK_PAUSE_MS;
+      const pause = Math.max(least, nextIn - horizon);
       stock.setPartition(ask.partition, { blockedUntil: now + pause, nextAt: now + nextIn });
     }
   }
--- a/src/core/quota/token-stock.ts
+++ b/src/core/quota/token-stock.ts
@@ -156,6 +156,11 @@
     return Math.max(0, forWaiting, ahead);
   }
 
+  /** Whether this host asks for tokens that have not accrued, beyond those of waiting requests. */
+  isReserving(now: Instant): boolean {
+    return this.demand.count(now) >= MIN_RESERVING_DEMAND;
+  }
+
   /** Returns the time from now until which tokens that are asked for may become usable. */
   horizon(now: Instant, lease: Millis): Millis {
     const latest = Math.max(now, ...this.waiting.map(({ deadline }) => deadline));
