--- a/test/core/quota/quota-fleet.test.ts
+++ b/test/core/quota/quota-fleet.test.ts
@@ -11,7 +11,7 @@
 const START_MS = 2000;
 const MINUTE_MS = 60_000;
 const MIN_SERVED_RATIO = 0.97;
-/** Largest number of datagrams of a host in a second, asked and answered, below its quota. */
+/** Largest size of a datagram of quotas. */
 const MAX_DATAGRAM_BYTES = 1200;
 
 const placesOf = (count: number): readonly number[] => Array.from({ length: count }, (_, i) => i);
