Choose upstreams by the expected time until a request ends

Cause: the load of an upstream was the number of its requests, so that a costly one counted like any other, and other gateways' requests were forgotten within the mean latency.

Change: with an estimate, the terms of load, queue and latency in expectedCost become the expected excess time over the time to spare and the mean of the load in requests and in work. The requests of other gateways tend to their mean while nothing is reported. All else stays: fault beliefs, coverage, newcomers, announcements, capacity checks, the random part.

Ruled out: a cap of 4 on the pending work, with which an estimate ten times too high sent a request to a faulty upstream (completion.test.ts); it is 2.

--- a/src/core/placement/choose-upstream.ts
+++ b/src/core/placement/choose-upstream.ts
@@ -168,6 +168,7 @@
   const costContext = {
     now,
     dataCentre: context.dataCentre,
+    costs: context.costs,
     hasFreeSlotElsewhere: available.some(
       (stats) =>
         stats.upstream.dataCentre !== context.dataCentre && hasFreeSlot(stats, request, now),
--- a/src/core/placement/expected-cost.ts
+++ b/src/core/placement/expected-cost.ts
@@ -1,5 +1,7 @@
 import type { Instant, Millis } from '../../model';
+import type { CostEstimate } from '../cost';
 
+import { expectedWork } from './completion-time';
 import { failureProbability } from './fault-model';
 import type { PlacementContext, PlacementRequest } from './placement';
 import type { UpstreamStats } from './upstream-stats';
@@ -31,6 +33,8 @@
    * late answer.
    */
   queueDelay: 0.5,
+  /** Upper bound of the advantage of an upstream that is faster than usual. */
+  fasterMax: 0.05,
   /** Ratio of the cost of a failure that can be retried to the cost of one that can't. */
   retryableFailureFactor: 0.35,
   /** Cost of each multiple of the mean latency beyond the first. */
@@ -42,7 +46,7 @@
 } as const;
 
 /** The state of the node and the service that the cost of an upstream depends on. */
-export interface CostContext extends Pick<PlacementContext, 'now' | 'dataCentre'> {
+export interface CostContext extends Pick<PlacementContext, 'now' | 'dataCentre' | 'costs'> {
   /** Whether an upstream of another data centre that may be chosen has a free slot. */
   readonly hasFreeSlotElsewhere: boolean;
 }
@@ -54,6 +58,8 @@
  * them.
  */
 const MIN_FAILURE_PROBABILITY = 0.08;
+/** Pending work, as a multiple of what fills all slots, beyond which more makes no difference. */
+const MAX_WORK_LOAD = 2;
 /** Ratio of the time to the deadline that a request may spend queued at an upstream. */
 const MAX_QUEUE_TIME_RATIO = 0.4;
 /** Returns the time in milliseconds that a request would wait for a slot at an upstream. */
@@ -115,6 +121,46 @@
   return isFull && hasFreeSlotElsewhere ? transferCost(request) : 0;
 };
 
+/**
+ * Returns the cost of the time until a request ends, from what is learned of costs. Every term is
+ * bounded, so that estimates wrong by a factor of ten never outweigh a fault.
+ */
+const completionCost = (
+  stats: UpstreamStats,
+  cost: CostEstimate,
+  { objective }: PlacementRequest,
+  { now, costs }: CostContext,
+): number => {
+  const { slots } = stats.upstream;
+  const usualMs = costs.usual.expectedMs;
+  const load = stats.expectedLoad(now, usualMs);
+  const { pending, wait, run } = expectedWork(stats, cost, costs, load, now);
+  const spare = Math.max(cost.expectedMs / 2, objective - cost.expectedMs);
+  const delay = COST_WEIGHTS.queueDelay * Math.min(1, (wait + run - cost.expectedMs) / spare);
+  // Requests in flight have half of their work left on average.
+  const workLoad = Math.min(MAX_WORK_LOAD, (2 * pending) / (slots * usualMs));
+  return (
+    Math.max(-COST_WEIGHTS.fasterMax, delay) +
+    (COST_WEIGHTS.fullLoad * (load / slots + workLoad)) / 2
+  );
+};
+
+/** Returns the cost of an upstream's load and speed, in units of failure probability. */
+const loadCost = (
+  stats: UpstreamStats,
+  load: number,
+  request: PlacementRequest,
+  context: CostContext,
+): number => {
+  const { slots } = stats.upstream;
+  if (request.cost) return completionCost(stats, request.cost, request, context);
+  return (
+    queueDelayCost(load, slots, request) +
+    (COST_WEIGHTS.fullLoad * load) / slots +
+    COST_WEIGHTS.excessLatency * Math.max(0, stats.latencyRatio - 1)
+  );
+};
+
 /** Returns the cost of sending a request to an upstream now, in units of failure probability. */
 export const expectedCost = (
   stats: UpstreamStats,
@@ -127,10 +173,8 @@
   const failure = Math.max(MIN_FAILURE_PROBABILITY, failureProbability(stats.belief, now));
   return (
     failure * failureFactor(request) +
-    queueDelayCost(load, upstream.slots, request) +
+    loadCost(stats, load, request, context) +
     placeCost(upstream.dataCentre === dataCentre, load >= upstream.slots, request, context) +
-    (COST_WEIGHTS.fullLoad * load) / upstream.slots +
-    COST_WEIGHTS.excessLatency * Math.max(0, stats.latencyRatio - 1) +
     (now < upstream.warmedUpAt ? COST_WEIGHTS.warmingUp : 0) +
     COST_WEIGHTS.overdueRequest * stats.overdueCount(now)
   );
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -2,6 +2,8 @@
 export * from './queue-limit';
 export * from './upstream-stats';
 export * from './placement';
+export * from './completion-time';
+export * from './learned-costs';
 export * from './expected-cost';
 export * from './choose-upstream';
 export * from './load-balancer';
--- a/src/core/placement/load-balancer.ts
+++ b/src/core/placement/load-balancer.ts
@@ -18,6 +18,7 @@
 
 import { chooseUpstream } from './choose-upstream';
 import { faultProbabilityAt, PRIOR_BELIEF, type EvidenceKind } from './fault-model';
+import { LearnedCosts } from './learned-costs';
 import type { Placement, PlacementRequest } from './placement';
 import { QueueLimit } from './queue-limit';
 import { UpstreamStats } from './upstream-stats';
@@ -99,6 +100,9 @@
   /** The queue limit that those of the service's upstreams start from. */
   private readonly queueLimit = new QueueLimit();
 
+  /** Learns the costs of the service's requests. */
+  readonly costs = new LearnedCosts();
+
   /** Mean answers by route name, since the requests of one route are alike. */
   private readonly meansByRoute = new Map<string, AnswerStats>();
 
@@ -182,6 +186,7 @@
       sendingHosts: this.termsSource.sendingHosts(now),
       random: this.random,
       minCoverageRatio: this.minCoverageRatio(),
+      costs: this.costs.ofService(),
       coverageAllowed: this.requestsSinceCoverage >= REQUESTS_BETWEEN_COVERAGE_COUNT,
     });
     if (placement.kind === 'send') {
--- a/src/core/placement/placement.ts
+++ b/src/core/placement/placement.ts
@@ -1,5 +1,6 @@
 import type { DataCentre, Instant, Millis, UpstreamId } from '../../model';
 import type { SendingHosts } from '../announcements';
+import type { CostEstimate, Slowdown } from '../cost';
 
 import type { UpstreamStats } from './upstream-stats';
 
@@ -15,12 +16,23 @@
   readonly objective: Millis;
   /** Milliseconds from now until the request's deadline. */
   readonly remaining: Millis;
+  /** Expected cost of the request; without it, requests count as equal. */
+  readonly cost?: CostEstimate | undefined;
   /** Whether the request can wait no longer, so that any upstream is preferred to none. */
   readonly lastResort: boolean;
   /** Upstreams that the request has already been sent to; they are not chosen again. */
   readonly tried: ReadonlySet<UpstreamId>;
 }
 
+/** What a balancer has learned of its service's costs. */
+export interface ServiceCosts {
+  /** The estimate for requests of other nodes. */
+  readonly usual: CostEstimate;
+  /** Mean remaining time of requests of other nodes. */
+  readonly usualRemaining: Millis;
+  readonly slowdown: Slowdown;
+}
+
 /** The result of choosing an upstream for a request. */
 export type Placement =
   | {
@@ -61,6 +73,7 @@
    * request.
    */
   readonly minCoverageRatio: number;
+  readonly costs: ServiceCosts;
   /** Whether this request may go to an upstream because that has had no request recently. */
   readonly coverageAllowed: boolean;
 }
--- a/src/core/placement/upstream-stats.ts
+++ b/src/core/placement/upstream-stats.ts
@@ -1,5 +1,6 @@
 import type { GatewayUpstream, Instant, Millis } from '../../model';
 import { UpstreamTerms } from '../announcements';
+import { PendingWork, SpeedEstimate, type PendingRequest } from '../cost';
 
 import { QueueLimit } from './queue-limit';
 import { updateBelief, PRIOR_BELIEF, type FaultBelief, type EvidenceKind } from './fault-model';
@@ -7,6 +8,9 @@
 /** Weight, 0 to 1, of the newest latency in the exponential moving average. */
 const NEWEST_LATENCY_WEIGHT = 0.25;
 
+/** Weight, 0 to 1, of the newest report in the mean number of other nodes' requests. */
+const NEWEST_REMOTE_WEIGHT = 0.1;
+
 /**
  * Time in milliseconds for which an upstream that refused or did not answer a connection gets no
  * requests.
@@ -58,6 +62,12 @@
    */
   latencyRatio = 1;
 
+  /** Work of this node's requests in flight whose cost was estimated. */
+  readonly work = new PendingWork();
+
+  /** Ratio of the upstream's times to usual ones, for equal costs. */
+  readonly speed = new SpeedEstimate();
+
   private isRegistrationLapsed = false;
 
   private readonly inFlightRequests = new Map<string, InFlightRequest>();
@@ -65,6 +75,8 @@
   /** Number of requests from other nodes that the upstream held at the time `at`. */
   private remoteLoad = { count: 0, at: 0 };
 
+  private meanRemoteCount = 0;
+
   constructor(
     private entry: GatewayUpstream,
     /**
@@ -111,17 +123,31 @@
     return this.inFlightRequests.size + count * Math.exp(-(now - at) / Math.max(1, meanLatency));
   }
 
+  /**
+   * Returns the expected number of requests at the upstream. Unlike in `load`, what other nodes have
+   * there tends to its mean, not to 0. Load pattern: many gateways share the upstreams, and each
+   * hears of most of them less often than their load changes.
+   */
+  expectedLoad(now: Instant, decayTime: Millis): number {
+    const { count, at } = this.remoteLoad;
+    const mean = this.meanRemoteCount;
+    const remote = mean + (count - mean) * Math.exp(-(now - at) / Math.max(1, decayTime));
+    return this.inFlightRequests.size + remote;
+  }
+
   /** Records a request sent now; `meanLatency` is that of its route. */
   attemptStarted(
     requestId: string,
     now: Instant,
     overdueAt: Instant,
     meanLatency: Millis = 0,
+    pending?: PendingRequest,
   ): void {
     const { slots } = this.entry;
     const level = this.load(now, meanLatency) + 1 - slots;
     const ownLevel = this.inFlightRequests.size + 1 - slots;
     this.inFlightRequests.set(requestId, { startedAt: now, overdueAt, level, ownLevel });
+    if (pending) this.work.start(requestId, pending);
     this.lastSentAt = now;
     this.terms.recordSend(now);
   }
@@ -137,6 +163,7 @@
 
   attemptEnded(requestId: string): void {
     this.inFlightRequests.delete(requestId);
+    this.work.end(requestId);
   }
 
   /**
@@ -171,6 +198,7 @@
   recordReportedLoad(running: number, waiting: number, now: Instant): void {
     const count = Math.max(0, running + waiting - this.inFlightRequests.size);
     this.remoteLoad = { count, at: now };
+    this.meanRemoteCount += (count - this.meanRemoteCount) * NEWEST_REMOTE_WEIGHT;
   }
 
   /**
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,4 +1,5 @@
 import { verdictOf, type AttemptOutcome } from '../core/gateway';
+import type { CostFeatures } from '../core/cost';
 import { faultProbabilityAt, type EvidenceKind, type UpstreamStats } from '../core/placement';
 import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../model';
 
@@ -56,6 +57,17 @@
 /** Number of decimals of a probability in a log line. */
 const PROBABILITY_DECIMALS = 3;
 
+/** Returns what the cost of a request is learned from. */
+export const costFeaturesOf = (
+  { workspace, target, body }: CallerRequest,
+  route: GatewayRoute,
+): CostFeatures => ({
+  route: route.name,
+  workspace: workspace?.name,
+  target,
+  bodyBytes: body.length,
+});
+
 /** Status by which an upstream rejects work; other refusals don't depend on its queue. */
 const SERVICE_UNAVAILABLE = 503;
 
@@ -77,6 +89,7 @@
   const { head, body } = result;
   if (outcome.kind === 'served') {
     const bytes = body.kind === 'whole' ? body.bytes.length : (head.length ?? 0);
+    balancer.costs.record(stats, request.id, costFeaturesOf(request, route), took, now);
     balancer.recordAnswer(stats, route.name, { latency: took, bytes });
   }
   const load = headerConventions.parseLoad((name) => headerOf(head.rawHeaders, name));
@@ -116,6 +129,7 @@
   const idempotent = isIdempotent(route.kind);
   const sentAt = clock.now();
   const illBefore = Number(faultProbabilityAt(stats.belief, sentAt).toFixed(PROBABILITY_DECIMALS));
+  const pending = stats.work.get(request.id);
   const overdue = setTimeout(() => {
     void context.path.confirm().then((isGood) => {
       if (!isGood) return;
@@ -164,6 +178,13 @@
       ...('status' in outcome ? { status: outcome.status } : {}),
       tookMs: Math.round(took),
       inFlight: stats.inFlight,
+      ...(pending
+        ? {
+            expectedMs: Math.round(pending.cost.expectedMs),
+            expectedWaitMs: Math.round(pending.wait),
+          }
+        : {}),
+      queueLimit: stats.queueLimit.limit(clock.now()),
       illBefore,
     });
   }
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -2,7 +2,7 @@
 import type { UpstreamStats } from '../core/placement';
 import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../model';
 
-import { runAttempt, type RequestContext } from './attempt';
+import { costFeaturesOf, runAttempt, type RequestContext } from './attempt';
 import { NOT_RUN_STATUSES, UNFRAMED, type CallerRequest } from './forwarding';
 import { hasNotRun, type GatewayReply } from './gateway-reply';
 import { endWithHedge, type AttemptResult, type RunningAttempt } from './hedging';
@@ -270,6 +270,7 @@
       tried: this.tried,
       meanBytes: this.request.body.length + this.scheduler.balancer.meanBytes(this.route.name),
       meanLatency,
+      cost: this.scheduler.balancer.costs.estimate(costFeaturesOf(this.request, this.route)),
       objective: arrivedAt + this.route.latencyObjective - now,
       remaining: this.deadline - now,
       lastResort: false,
--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/service-scheduler.ts
@@ -228,6 +228,7 @@
           now,
           now + this.balancer.overdueAfter(request.route),
           request.meanLatency,
+          request.cost && this.balancer.costs.pendingRequest(placement.stats, request.cost, now),
         );
         return placement;
       case 'none':
--- a/test/core/placement/choose.test.ts
+++ b/test/core/placement/choose.test.ts
@@ -4,6 +4,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
 import { SendingHosts } from '../../../src/core/announcements';
+import { CostModel, Slowdown } from '../../../src/core/cost';
 import {
   chooseUpstream,
   failureProbability,
@@ -52,6 +53,11 @@
   minCoverageRatio: 0.76,
   coverageAllowed: false,
   sendingHosts: new SendingHosts(['a'], 'a', 0),
+  costs: {
+    usual: new CostModel().serviceEstimate(),
+    usualRemaining: 150,
+    slowdown: new Slowdown(),
+  },
   ...more,
 });
 
