--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -4,6 +4,8 @@
 export * from './queue-limit';
 export * from './upstream-stats';
 export * from './placement';
+export * from './completion-time';
+export * from './learned-costs';
 export * from './expected-cost';
 export * from './choose-upstream';
 export * from './load-balancer';
--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/service-scheduler.ts
@@ -211,7 +211,12 @@
           requestId,
           now,
           now + this.balancer.overdueAfter(request.route),
-          request,
+          {
+            ...request,
+            pending:
+              request.cost &&
+              this.balancer.costs.pendingRequest(placement.stats, request.cost, now),
+          },
         );
         return placement;
       case 'none':
