Let buckets refill as fast as the quota's bound allows

Change: leases last 250 ms, and buckets refill by what the bound leaves beside a full bucket, at most by rate and burst in each window.

--- a/src/core/quota/terms.ts
+++ b/src/core/quota/terms.ts
@@ -19,10 +19,12 @@
   readonly dataCentreCount: number;
   /** Time for which a token may be used, counted from the moment at which its host asked. */
   readonly lease: Millis;
-  /** Ratio of the quota's rate at which buckets refill. */
-  readonly refillRatio: number;
-  /** Tokens that the buckets of a workspace hold together in addition to its burst. */
-  readonly extraTokens: number;
+  /** Length of the window over which a quota is counted. */
+  readonly window: Millis;
+  /** Ratio by which the tokens of a window may exceed what a quota allows in it. */
+  readonly excessRatio: number;
+  /** Number of tokens by which those of a window may exceed that in addition. */
+  readonly excessTokens: number;
   /** Time after which a lost allocator has stopped by itself. */
   readonly takeoverWait: Millis;
 }
@@ -47,15 +49,20 @@
 
 /** Fewest partitions, so that the loss of one leaves a workspace at 1/1.6 of its quota unharmed. */
 const MIN_PARTITION_COUNT = 3;
-/** Shortest lease in milliseconds, which leaves time for datagrams between data centres. */
-const MIN_LEASE_MS: Millis = 250;
+/**
+ * Time in milliseconds for which a token is leased, which leaves time for datagrams between data
+ * centres. A longer one would leave less of the bound for bursts.
+ */
+const LEASE_MS: Millis = 250;
 /** Milliseconds by which a lease is shorter, as messages round times up to a millisecond. */
 const LEASE_MARGIN_MS: Millis = 2;
 /**
  * Ratio of the quota's excess count that buckets may hold; the rest is left for the time for which
  * a partition has two allocators.
  */
-const BUCKET_EXCESS_RATIO = 0.5;
+const BUCKET_EXCESS_RATIO = 0.75;
+/** Part of those tokens by which a bucket holds more than the burst. */
+const HELD_EXCESS_RATIO = 0.33;
 /** Time in milliseconds after which a lost allocator is taken over without a revocation bound. */
 const DEFAULT_TAKEOVER_WAIT_MS: Millis = 10_000;
 
@@ -68,24 +75,33 @@
   >,
 ): QuotaTerms => {
   const spare = Math.max(0, MIN_PARTITION_COUNT - dataCentres.length);
-  const lease = Math.max(MIN_LEASE_MS, bounds.quotaExcessRatio * bounds.quotaWindow);
-  const allowedRatio = (1 + bounds.quotaExcessRatio) * bounds.quotaWindow;
   return {
     partitions: [...dataCentres, ...Array.from({ length: spare }, (_, i) => `spare-${i}`)],
     dataCentreCount: dataCentres.length,
-    lease: lease - LEASE_MARGIN_MS,
-    // The runs of a window fall under the grants of the window and of one lease before it.
-    refillRatio: Math.min(1, allowedRatio / (bounds.quotaWindow + lease)),
-    extraTokens: BUCKET_EXCESS_RATIO * bounds.quotaExcessCount,
+    lease: LEASE_MS - LEASE_MARGIN_MS,
+    window: bounds.quotaWindow,
+    excessRatio: bounds.quotaExcessRatio,
+    excessTokens: BUCKET_EXCESS_RATIO * bounds.quotaExcessCount,
     takeoverWait: bounds.keyRevocationTime ?? DEFAULT_TAKEOVER_WAIT_MS,
   };
 };
 
-/** Returns the rate of a workspace's bucket in one partition. */
+/**
+ * Returns the rate of a workspace's bucket in one partition. It holds the burst, and refills as fast
+ * as the bound allows with a full bucket, but no faster than the rate and the burst in each window.
+ * The runs of a window fall under the grants of the window and of one lease before it.
+ */
 export const bucketRateOf = (
   { rate, burst }: WorkspaceQuota,
-  { partitions, refillRatio, extraTokens }: QuotaTerms,
-): BucketRate => ({
-  interval: (MILLIS_PER_SECOND * partitions.length) / (rate * refillRatio),
-  capacity: Math.max(1, (burst + extraTokens) / partitions.length),
-});
+  { partitions, window, excessRatio, excessTokens }: QuotaTerms,
+): BucketRate => {
+  const { length } = partitions;
+  const perWindow = (rate * window) / MILLIS_PER_SECOND + burst;
+  const held = Math.max(length, burst + HELD_EXCESS_RATIO * excessTokens);
+  const bound = perWindow * (1 + excessRatio) + excessTokens;
+  const perMs = Math.min(perWindow / window, (bound - held) / (window + LEASE_MS));
+  // A bucket of each partition holds one token at least, which must not slow down small quotas.
+  const minRatio = Math.min(1, ((1 + excessRatio) * window) / (window + LEASE_MS));
+  const slowest = (minRatio * rate) / MILLIS_PER_SECOND;
+  return { interval: length / Math.max(slowest, perMs), capacity: held / length };
+};
