--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -28,7 +28,7 @@
  * Names of events that report a change in what the gateway knows: its configuration, upstreams or
  * peers.
  */
-const STATE_EVENT_PATTERN = /^(upstream|config|feed|settings|owners|limit|pause)-/;
+const STATE_EVENT_PATTERN = /^(upstream|config|feed|settings|owners|limit|pause|keys|quota)-/;
 /** Names of events that report what an upstream has announced of itself. */
 const ANNOUNCEMENT_EVENTS: ReadonlySet<string> = new Set([
   'limit-announced',
@@ -57,6 +57,9 @@
   }
 };
 
+const keyOf = ({ fields: { keyDigest } }: LogLine): string =>
+  isString(keyDigest) ? `the key with digest ${keyDigest}` : 'a missing or repeated key';
+
 const causeOf = (request: LogLine | undefined, attempts: readonly LogLine[]): string => {
   if (!request) return 'no log given here has the end of the request: its node died or was cut off';
   const { outcome, why, status, upstream } = request.fields;
@@ -84,6 +87,10 @@
         : `it was answered ${String(status)} by upstream ${String(upstream)}`;
     case 'nobody':
       return 'the caller left before the answer';
+    case 'unauthorized':
+      return `${keyOf(request)} is of no workspace in the configuration in force; it did not run`;
+    case 'over-quota':
+      return `workspace ${String(request.fields.workspace)} had used up its quota; it did not run, and was to come back after ${String(request.fields.retryAfterMs)} ms`;
     default:
       return `it ended as ${String(outcome)}`;
   }
--- a/test/cli/explain.test.ts
+++ b/test/cli/explain.test.ts
@@ -95,6 +95,20 @@
     ]);
   });
 
+  it('tells an unknown key from a used up quota, so that operators look at the right one', () => {
+    const causeOfLine = (fields: Readonly<Record<string, unknown>>): string =>
+      explainRequest([line('n1', { time: 1, event: 'request', request: 'q', ...fields })], 'q').at(
+        -1,
+      ) ?? '';
+    expect(causeOfLine({ outcome: 'unauthorized', keyDigest: '1727be964d2e' })).toEqual(
+      'cause: the key with digest 1727be964d2e is of no workspace in the configuration in force; it did not run',
+    );
+    expect(causeOfLine({ outcome: 'unauthorized' })).toInclude('a missing or repeated key');
+    expect(causeOfLine({ outcome: 'over-quota', workspace: 'w1', retryAfterMs: 204 })).toEqual(
+      'cause: workspace w1 had used up its quota; it did not run, and was to come back after 204 ms',
+    );
+  });
+
   it('states the cause: an upstream failure, a refusal, a time-out, a lost node', () => {
     expect(causeOf('a').includes('upstream i-1 answered 500 after 3 ms')).toEqual(true);
     expect(causeOf('b')).toEqual('cause: the gateway refused it (no-room) and it did not run');
