Determine the owners of services apart from the fleet's exchanges

Change: ServiceOwners has what the directory, the relay and the exchanges ask of owners; no behaviour changes.

--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
-import { capacityOf, ownersOf, type HostGroup, type HostGroups } from '../core/gateway';
+import { capacityOf, type HostGroups } from '../core/gateway';
 import type { ServiceReport } from '../core/evidence';
 import { decodeMembershipMessage, Membership, type MembershipEvent } from '../core/membership';
 import type { EvidenceKind, UpstreamStats } from '../core/placement';
@@ -25,6 +25,7 @@
 import { PathExchange } from './path-exchange';
 import { DatagramLink } from './peer-link';
 import { QuotaExchange } from './quota-exchange';
+import { ServiceOwners } from './service-owners';
 import type { ServiceScheduler } from './service-scheduler';
 
 /** Functions of the gateway that its fleet calls. */
@@ -69,11 +70,7 @@
 
   private members: readonly Member[] = [];
 
-  /** Data centres that have at least one member. */
-  private dataCentres: readonly DataCentre[] = [];
-
-  /** Cache of the owners by service; cleared when the members, routes or upstreams change. */
-  private readonly owners = new Map<ServiceName, readonly Member[]>();
+  private readonly owners: ServiceOwners;
 
   /** Tells the hosts that share the limits which upstreams announce. */
   readonly limitSharing: LimitSharing;
@@ -112,9 +109,14 @@
     private readonly service: FleetService,
   ) {
     const { settings, clock, telemetry } = context;
+    this.owners = new ServiceOwners(context, this.incarnation, {
+      hostGroups: () => service.hostGroups(),
+      isPathCut: (incarnation) => this.paths.isCut(incarnation),
+      isRefusingKeys: () => this.freshness.isRefusing(),
+    });
     this.limitSharing = new LimitSharing(
       context,
-      (name) => this.ownersFor(name),
+      (name) => this.owners.of(name),
       () => this.members,
     );
     this.link = new DatagramLink(telemetry, {
@@ -152,7 +154,7 @@
       readStore: () => service.readStore(),
     });
     this.evidence = new EvidenceExchange(context, this.incarnation, this.link, {
-      otherOwners: (name) => this.otherOwners(name),
+      otherOwners: (name) => this.owners.othersOf(name),
       schedulers: () => service.schedulers(),
     });
   }
@@ -214,22 +216,26 @@
     if (isAlone && this.context.clock.now() < this.settledAt) return [];
     const group = this.service.hostGroups()?.ofHost(host.toLowerCase());
     if (!group) return [];
-    return this.ownersOfGroup(dataCentre, group, this.membersForCallers()).map(
-      ({ address, callerPort }) => `${address}:${callerPort}`,
-    );
+    return this.owners
+      .forCallers(dataCentre, group)
+      .map(({ address, callerPort }) => `${address}:${callerPort}`);
   }
 
   /** Whether this gateway owns the service. */
   isOwnerOf(service: ServiceName): boolean {
-    const self = this.context.settings.listen.callers.address;
-    return this.ownersFor(service).some(({ address }) => address === self);
+    return this.owners.isOwnerOf(service);
+  }
+
+  /** Returns the gateways that a request of the service may be passed on to, the best first. */
+  relayPeersOf(service: ServiceName): readonly Member[] {
+    return this.owners.relayPeersOf(service);
   }
 
   /**
    * Returns the number of gateways that own a service, this one included; 0 if this one does not.
    */
   retryBudgetSharersOf(service: ServiceName): number {
-    return this.isOwnerOf(service) ? this.ownersFor(service).length : 0;
+    return this.isOwnerOf(service) ? this.owners.of(service).length : 0;
   }
 
   /**
@@ -264,7 +270,7 @@
       if (isOwner !== this.evidence.hasAsked(name)) {
         this.context.telemetry.event(isOwner ? 'owners-joined' : 'owners-left', {
           service: name,
-          owners: this.ownersFor(name).length,
+          owners: this.owners.of(name).length,
           members: this.members.length,
         });
       }
@@ -274,79 +280,6 @@
     });
   }
 
-  private ownersFor(service: ServiceName): readonly Member[] {
-    const known = this.owners.get(service);
-    if (known) return known;
-    const groups = this.service.hostGroups()?.ofService(service) ?? [];
-    const named = groups.flatMap((group) =>
-      this.dataCentres.flatMap((dataCentre) => this.ownersOfGroup(dataCentre, group)),
-    );
-    const owners = [...new Set(named)];
-    this.owners.set(service, owners);
-    return owners;
-  }
-
-  /** Returns the owners in one data centre, which carries an equal part of the group's demand. */
-  private ownersOfGroup(
-    dataCentre: DataCentre,
-    { name, demand }: HostGroup,
-    members = this.membersWithPath(),
-  ): readonly Member[] {
-    const demandPerDataCentre = demand / Math.max(1, this.dataCentres.length);
-    return ownersOf(members, dataCentre, name, demandPerDataCentre);
-  }
-
-  /**
-   * Returns the members that callers may be sent to: others while this one refuses all keys. If it
-   * takes all others for dead, it is more likely cut off itself, and names them nevertheless.
-   */
-  private membersForCallers(): readonly Member[] {
-    const members = this.membersWithPath();
-    if (!this.freshness.isRefusing()) return members;
-    const others = members.filter(({ incarnation }) => incarnation !== this.incarnation);
-    if (others.some(({ state }) => state === 'alive')) return others;
-    const lost = others.filter(({ state }) => state !== 'leaving');
-    return lost.length > 0 ? lost.map((member) => ({ ...member, state: 'alive' })) : members;
-  }
-
-  /** Returns the members without those whose path to the upstreams is cut; all if none is left. */
-  private membersWithPath(): readonly Member[] {
-    const withPath = this.members.filter(({ incarnation }) => !this.paths.isCut(incarnation));
-    return withPath.some(({ state }) => state === 'alive') ? withPath : this.members;
-  }
-
-  /**
-   * Returns the gateways that a request of the service may be passed on to, owners of its data
-   * centre first; empty if none has a path to the upstreams.
-   */
-  relayPeersOf(service: ServiceName): readonly Member[] {
-    const { dataCentre, listen } = this.context.settings;
-    const isUsable = ({ address, incarnation, state }: Member): boolean =>
-      address !== listen.callers.address && state === 'alive' && !this.paths.isCut(incarnation);
-    const ranked = [...new Set([...this.shuffled(this.ownersFor(service)), ...this.members])];
-    const near = ranked.filter((member) => member.dataCentre === dataCentre);
-    const owners = new Set(this.ownersFor(service));
-    const order = [
-      ...near.filter((member) => owners.has(member)),
-      ...ranked.filter((member) => owners.has(member) && member.dataCentre !== dataCentre),
-      ...ranked.filter((member) => !owners.has(member)),
-    ];
-    return order.filter(isUsable);
-  }
-
-  private shuffled(members: readonly Member[]): readonly Member[] {
-    return members
-      .map((member) => ({ member, rank: this.context.random() }))
-      .sort((a, b) => a.rank - b.rank)
-      .map(({ member }) => member);
-  }
-
-  /** Returns the owners of a service without this gateway. */
-  private otherOwners(service: ServiceName): readonly Member[] {
-    const self = this.context.settings.listen.callers.address;
-    return this.ownersFor(service).filter(({ address }) => address !== self);
-  }
-
   private onMembershipMessage(body: unknown): void {
     // A gateway that answers before it has joined would be taken for a member.
     if (!this.isJoined) return;
@@ -365,7 +298,7 @@
           return;
         case 'changed':
           this.members = effect.members;
-          this.dataCentres = [...new Set(this.members.map(({ dataCentre }) => dataCentre))];
+          this.owners.setMembers(this.members);
           this.paths.onMembers(this.members);
           this.recomputeOwners();
           this.crashes.onMembers(this.members);
