Let hosts of the highest capacity grant tokens, and requests wait longer for one

Change: allocators are drawn among the hosts of the highest capacity; a request waits for a quarter of its objective, 300 ms at most.

--- a/src/core/quota/allocator-directory.ts
+++ b/src/core/quota/allocator-directory.ts
@@ -40,6 +40,15 @@
 const addressOf = ({ address, peerPort }: QuotaMember): string =>
   peerKey({ address, peerPort, callerPort: 0 });
 
+/**
+ * Returns the members of the highest capacity. The requests of a whole data centre for tokens reach
+ * one host, and a small one answers too late for those that wait.
+ */
+const largestOf = (members: readonly QuotaMember[]): readonly QuotaMember[] => {
+  const highest = Math.max(...members.map(({ capacity = 0 }) => capacity));
+  return members.filter(({ capacity = 0 }) => capacity === highest);
+};
+
 /**
  * Knows which host is the allocator of each partition: the first by rendezvous hashing among the
  * live members of its data centre, or of all if it has none. A lost member keeps its rank until it
@@ -148,7 +157,7 @@
       partition < this.terms.dataCentreCount
         ? candidates.filter(({ dataCentre }) => dataCentre === name)
         : [];
-    return rankedFor(`quota ${name}`, near.length > 0 ? near : candidates)[0];
+    return rankedFor(`quota ${name}`, largestOf(near.length > 0 ? near : candidates))[0];
   }
 
   private invalidate(): void {
--- a/src/gateway/quota-exchange.ts
+++ b/src/gateway/quota-exchange.ts
@@ -23,7 +23,7 @@
 import type { QuotaDecision, QuotaGate } from './workspace-access';
 
 /** Longest time in milliseconds that a request waits for a token, whatever its objective. */
-const MAX_TOKEN_WAIT_MS: Millis = 80;
+const MAX_TOKEN_WAIT_MS: Millis = 300;
 /** Interval in milliseconds at which this host checks which partitions it is the allocator of. */
 const TICK_MS: Millis = 250;
 /** Retry-After in milliseconds until this gateway has joined the fleet. */
--- a/src/gateway/workspace-access.ts
+++ b/src/gateway/workspace-access.ts
@@ -57,10 +57,10 @@
   | { readonly kind: 'denied'; readonly request: CallerRequest; readonly reply: AccessRefusal };
 
 /**
- * Longest wait for a token, as a ratio of the latency objective: a caller that is refused later has
- * lost too much of its time.
+ * Longest wait for a token, as a ratio of the latency objective: a request that gets one then can
+ * still be answered within the objective.
  */
-const MAX_TOKEN_WAIT_OBJECTIVE_RATIO = 0.1;
+const MAX_TOKEN_WAIT_OBJECTIVE_RATIO = 0.25;
 /** Length in hexadecimal digits of the digest that stands for a key in log lines. */
 const KEY_DIGEST_DIGITS = 12;
 
