Take allocators for silent later, and ask them again sooner

Change: six requests given up in a row, not two; given up 120 ms after the repetition; asked again after 250 ms, not after a second.

--- a/src/core/quota/ask-book.ts
+++ b/src/core/quota/ask-book.ts
@@ -33,13 +33,19 @@
 /** The same for a request that no caller waits for, which is sent later. */
 const REPEAT_PREFETCH_AFTER_MS: Millis = 60;
 /** Time in milliseconds from the repetition until a request is given up. */
-const GIVE_UP_AFTER_MS: Millis = 80;
+const GIVE_UP_AFTER_MS: Millis = 120;
 /** Time in milliseconds for which requests are remembered, longer than any lease. */
 const MEMORY_MS: Millis = 2000;
-/** Requests given up in a row from which on an allocator counts as silent. */
-const SILENT_AFTER_COUNT = 2;
-/** Time in milliseconds until a silent allocator is asked again. */
-const SILENCE_MS: Millis = 1000;
+/**
+ * Requests given up in a row from which on an allocator counts as silent. A busy small host gives up
+ * several at once, as its timers fire before it reads the answers.
+ */
+const SILENT_AFTER_COUNT = 6;
+/**
+ * Time in milliseconds until a silent allocator is asked again. Requests are refused meanwhile if
+ * all are silent, which is more likely this host's own delay.
+ */
+const SILENCE_MS: Millis = 250;
 
 /** Keeps the requests for tokens that this host has made, and which allocators don't answer them. */
 export class AskBook {
