Spare requests that can't be repeated the coverage of unused upstreams

Change: a request that can't be repeated covers an unused upstream only while the share of unserved requests, as this host sees it, is half of that tenth or more (UnservedShare). Requests that may be repeated cover as before.

--- a/src/core/placement/load-balancer.ts
+++ b/src/core/placement/load-balancer.ts
@@ -19,8 +19,9 @@
 import { chooseUpstream } from './choose-upstream';
 import { faultProbabilityAt, PRIOR_BELIEF, type EvidenceKind } from './fault-model';
 import { LearnedCosts } from './learned-costs';
-import type { Placement, PlacementRequest } from './placement';
+import type { Placement, PlacementContext, PlacementRequest } from './placement';
 import { QueueLimit } from './queue-limit';
+import { UnservedShare } from './unserved-share';
 import { UpstreamStats } from './upstream-stats';
 
 /** Latency and body length of one answer, or their means over a route's answers. */
@@ -98,6 +99,8 @@
   /** Number of requests sent since the last one that was used for coverage (`why` is `cover`). */
   private requestsSinceCoverage = 0;
 
+  private readonly unservedShare = new UnservedShare();
+
   private lastPlacedAt: Instant = Number.NEGATIVE_INFINITY;
 
   /** The queue limit that those of the service's upstreams start from. */
@@ -201,7 +204,7 @@
       random: this.random,
       minCoverageRatio: this.minCoverageRatio(),
       costs: this.costs.ofService(),
-      coverageAllowed: this.requestsSinceCoverage >= REQUESTS_BETWEEN_COVERAGE_COUNT,
+      coverage: this.coverage(now),
     });
     if (placement.kind === 'send') {
       this.requestsSinceCoverage = placement.why === 'cover' ? 0 : this.requestsSinceCoverage + 1;
@@ -209,6 +212,16 @@
     return placement;
   }
 
+  /** Records a request that has ended, unless its caller left. */
+  recordEnded(isServed: boolean, now: Instant): void {
+    this.unservedShare.record(isServed, now);
+  }
+
+  private coverage(now: Instant): PlacementContext['coverage'] {
+    if (this.requestsSinceCoverage < REQUESTS_BETWEEN_COVERAGE_COUNT) return 'none';
+    return this.unservedShare.isHigh(now) ? 'all' : 'retryable';
+  }
+
   /** Returns this node's beliefs at `now` about the upstreams it has evidence or a belief of. */
   beliefs(now: Instant): readonly UpstreamBelief[] {
     return this.allStats
--- a/src/core/placement/placement.ts
+++ b/src/core/placement/placement.ts
@@ -76,6 +76,9 @@
    */
   readonly minCoverageRatio: number;
   readonly costs: ServiceCosts;
-  /** Whether this request may go to an upstream because that has had no request recently. */
-  readonly coverageAllowed: boolean;
+  /**
+   * Which requests may go to an upstream because that has had none recently: none, those that may
+   * be retried, or all.
+   */
+  readonly coverage: 'none' | 'retryable' | 'all';
 }
