--- a/src/gateway/request-log.ts
+++ b/src/gateway/request-log.ts
@@ -1,4 +1,4 @@
-import type { GatewayRoute, Instant, Millis } from '../model';
+import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../model';
 import type { Clock, EventField, Telemetry } from '../ports';
 
 import type { GatewayReply } from './gateway-reply';
@@ -60,6 +60,7 @@
     upstreamsAge,
   }: EndedRequest): void {
     const took = this.clock.now() - request.arrivedAt;
+    const late = took > route.latencyObjective;
     const status = reply.kind === 'answer' ? reply.head.status : 0;
     const fields = {
       request: request.id,
@@ -76,9 +77,14 @@
       waiting: scheduler.waitingCount,
       config: configVersion,
       upstreamsAgeMs: Math.round(upstreamsAge),
+      idempotent: isIdempotent(route.kind),
+      ...(late ? { late } : {}),
     };
     const isRoutine =
-      reply.kind === 'answer' && status < FIRST_ERROR_STATUS && proxiedRequest.attemptCount === 1;
+      reply.kind === 'answer' &&
+      status < FIRST_ERROR_STATUS &&
+      proxiedRequest.attemptCount === 1 &&
+      !late;
     if (isRoutine) this.logRoutine('request', fields);
     else this.logNotable('request', fields);
     this.telemetry.latency('request', took);
