Order the events of a play by their own time

Cause: processes write their log lines in batches, up to half a second after the event, and the losses were put down to what hosts had seen by the time of writing.

--- a/test/scripts/losses.test.ts
+++ b/test/scripts/losses.test.ts
@@ -6,7 +6,7 @@
 import { countRequests, lossReport } from '../../scripts/losses/report';
 
 const line = (at: number, host: string, fields: Readonly<Record<string, unknown>>): string =>
-  `  ${at.toFixed(4)} ${host} ${JSON.stringify({ level: 'info', time: 0, service: 's', route: 'r', ...fields })}`;
+  `  ${(Math.ceil(2 * at) / 2).toFixed(4)} ${host} ${JSON.stringify({ level: 'info', time: 5000 + 1000 * at, service: 's', route: 'r', ...fields })}`;
 
 const request = (
   at: number,
