Learn how often and for how long upstreams are faulty

Cause: the share of faulty time, the time between changes and the failure rates in the fault model were constants that hold for one deployment; where upstreams are faulty more rarely or for longer, suspects are tried too late or too soon.

--- a/src/core/placement/choose-upstream.ts
+++ b/src/core/placement/choose-upstream.ts
@@ -1,7 +1,6 @@
 import type { Instant, Millis } from '../../model';
 
 import { expectedCost, hasCapacity, hasFreeSlot, type CostContext } from './expected-cost';
-import { failureProbability, faultProbabilityAt } from './fault-model';
 import type { Placement, PlacementContext, PlacementRequest } from './placement';
 import type { UpstreamStats } from './upstream-stats';
 
@@ -110,7 +109,7 @@
   if (healthy.length - unused.length >= minCoverageRatio * healthy.length) return undefined;
   return minBy(
     unused.filter((stats) => !stats.isAvoided(now)),
-    (stats) => faultProbabilityAt(stats.belief, now) + MAX_COVERAGE_JITTER * random(),
+    (stats) => stats.faultProbability(now) + MAX_COVERAGE_JITTER * random(),
   );
 };
 
@@ -124,14 +123,13 @@
   request: PlacementRequest,
   context: CostContext,
 ): boolean => {
-  const failure = failureProbability(best.belief, context.now);
+  const failure = best.failureProbability(context.now);
   const isBad = request.lastResort
     ? !request.retryable && failure > MAX_LAST_RESORT_FAILURE_PROBABILITY
     : expectedCost(best, request, context) > MAX_ACCEPTED_COST;
   if (!isBad) return false;
   return ready.some(
-    (stats) =>
-      failureProbability(stats.belief, context.now) + MIN_FAILURE_PROBABILITY_GAIN < failure,
+    (stats) => stats.failureProbability(context.now) + MIN_FAILURE_PROBABILITY_GAIN < failure,
   );
 };
 
@@ -153,8 +151,8 @@
 
 /**
  * Selects the upstream for a request: on an owner first a newcomer or one to cover, else the one of
- * lowest expected cost that has capacity. Load pattern: at any time about three in ten upstreams
- * fail most of their requests for some seconds, so that those with recent successes are preferred
+ * lowest expected cost that has capacity. Load pattern: at any time some of the upstreams fail most
+ * of their requests for some seconds, so that those with recent successes are preferred
  * and others are used only when these are full.
  */
 export const chooseUpstream = (
@@ -196,7 +194,6 @@
   );
   if (!best) return { kind: 'full' };
   if (isWorthWaiting(best, open, request, costContext)) return { kind: 'full' };
-  const why =
-    failureProbability(best.belief, now) <= MAX_PROVEN_FAILURE_PROBABILITY ? 'proven' : 'trial';
+  const why = best.failureProbability(now) <= MAX_PROVEN_FAILURE_PROBABILITY ? 'proven' : 'trial';
   return { kind: 'send', stats: best, why };
 };
--- a/src/core/placement/expected-cost.ts
+++ b/src/core/placement/expected-cost.ts
@@ -2,7 +2,6 @@
 import type { CostEstimate } from '../cost';
 
 import { expectedWork } from './completion-time';
-import { failureProbability } from './fault-model';
 import type { PlacementContext, PlacementRequest } from './placement';
 import type { UpstreamStats } from './upstream-stats';
 
@@ -184,7 +183,7 @@
   const { now, dataCentre } = context;
   const { upstream } = stats;
   const load = stats.load(now, request.meanLatency);
-  const failure = Math.max(MIN_FAILURE_PROBABILITY, failureProbability(stats.belief, now));
+  const failure = Math.max(MIN_FAILURE_PROBABILITY, stats.failureProbability(now));
   return (
     failure * failureFactor(request) +
     loadCost(stats, load, request, context) +
--- a/src/core/placement/fault-model.ts
+++ b/src/core/placement/fault-model.ts
@@ -1,24 +1,32 @@
 import type { Instant, Millis } from '../../model';
 
 /**
- * Parameters of a two-state model of an upstream, healthy or faulty. A faulty upstream fails most
- * requests for some seconds although its health check passes.
+ * Rates of a two-state model of a service's upstreams, healthy or faulty. A faulty upstream fails
+ * most requests for some seconds although its health check passes.
  */
-export const FAULT_MODEL = {
+export interface FaultRates {
   /**
    * Ratio of the time that an upstream is faulty, and so the fault probability without evidence.
    */
-  faultyShare: 0.3,
+  readonly faultyShare: number;
   /**
-   * Time constant of the exponential decay of a belief toward `faultyShare`: the mean time between
-   * an upstream's changes of state.
+   * Time constant in milliseconds of the exponential decay of a belief toward `faultyShare`: the
+   * mean time between an upstream's changes of state.
    */
-  decayTimeMs: 9000 as Millis,
+  readonly decayTime: Millis;
   /** Ratio of requests that fail while the upstream is faulty. */
-  faultyFailureRate: 0.75,
+  readonly faultyFailureRate: number;
   /** Ratio of requests that fail while the upstream is healthy. */
+  readonly healthyFailureRate: number;
+}
+
+/** The rates assumed before any evidence; `LearnedFaultRates` replaces them by observed ones. */
+export const INITIAL_FAULT_RATES: FaultRates = {
+  faultyShare: 0.3,
+  decayTime: 9000,
+  faultyFailureRate: 0.75,
   healthyFailureRate: 0.015,
-} as const;
+};
 
 /** A probability, from 0 to 1, that an upstream is faulty, as estimated at the time `at`. */
 export interface FaultBelief {
@@ -26,17 +34,24 @@
   readonly at: Instant;
 }
 
-/** The belief about an upstream that nothing is known of. */
-export const PRIOR_BELIEF: FaultBelief = { faultProbability: FAULT_MODEL.faultyShare, at: 0 };
+/** The belief about an upstream that nothing is known of; its probability is `faultyShare`. */
+export const PRIOR_BELIEF: FaultBelief = {
+  faultProbability: INITIAL_FAULT_RATES.faultyShare,
+  at: 0,
+};
 
 /**
  * Returns the probability that the upstream is faulty at `now`, decayed since the belief was
  * updated.
  */
-export const faultProbabilityAt = (belief: FaultBelief, now: Instant): number => {
-  const { faultyShare, decayTimeMs } = FAULT_MODEL;
+export const faultProbabilityAt = (
+  belief: FaultBelief,
+  now: Instant,
+  { faultyShare, decayTime }: FaultRates = INITIAL_FAULT_RATES,
+): number => {
+  if (belief === PRIOR_BELIEF) return faultyShare;
   const age = Math.max(0, now - belief.at);
-  return faultyShare + (belief.faultProbability - faultyShare) * Math.exp(-age / decayTimeMs);
+  return faultyShare + (belief.faultProbability - faultyShare) * Math.exp(-age / decayTime);
 };
 
 /**
@@ -45,18 +60,37 @@
  */
 export type EvidenceKind = 'good' | 'failed-early' | 'failed-late' | 'slow';
 
-/** Likelihood, from 0 to 1, of each kind of evidence from a faulty and from a healthy upstream. */
-const EVIDENCE_LIKELIHOOD: Readonly<
-  Record<EvidenceKind, { readonly faulty: number; readonly healthy: number }>
-> = {
-  good: { faulty: 1 - FAULT_MODEL.faultyFailureRate, healthy: 1 - FAULT_MODEL.healthyFailureRate },
-  // Early failures come mostly from faulty upstreams.
-  'failed-early': { faulty: FAULT_MODEL.faultyFailureRate, healthy: 0.003 },
-  // Late failures are mostly caused by the request itself.
-  'failed-late': { faulty: 0.1, healthy: 0.012 },
-  // Answers overdue at three times the mean latency: most of those from an upstream that hangs, few
-  // from others.
-  slow: { faulty: 0.6, healthy: 0.04 },
+/** Likelihood, from 0 to 1, of a kind of evidence from a faulty and from a healthy upstream. */
+interface EvidenceLikelihood {
+  readonly faulty: number;
+  readonly healthy: number;
+}
+
+/**
+ * Ratio of the failures of healthy upstreams that are early; most are caused by the request itself,
+ * once it runs.
+ */
+const HEALTHY_EARLY_RATIO = 0.2;
+/** Likelihood of a late failure of a faulty upstream, which fails most requests early. */
+const FAULTY_LATE_RATE = 0.1;
+
+const likelihoodOf = (evidence: EvidenceKind, rates: FaultRates): EvidenceLikelihood => {
+  const { faultyFailureRate, healthyFailureRate } = rates;
+  switch (evidence) {
+    case 'good':
+      return { faulty: 1 - faultyFailureRate, healthy: 1 - healthyFailureRate };
+    case 'failed-early':
+      return { faulty: faultyFailureRate, healthy: HEALTHY_EARLY_RATIO * healthyFailureRate };
+    case 'failed-late':
+      return {
+        faulty: FAULTY_LATE_RATE,
+        healthy: (1 - HEALTHY_EARLY_RATIO) * healthyFailureRate,
+      };
+    case 'slow':
+      // Answers overdue at three times the mean latency: most of those from an upstream that hangs,
+      // few from others.
+      return { faulty: 0.6, healthy: 0.04 };
+  }
 };
 
 /** Returns the belief at `now` after new evidence, by Bayes' rule. */
@@ -64,9 +98,10 @@
   belief: FaultBelief,
   evidence: EvidenceKind,
   now: Instant,
+  rates: FaultRates = INITIAL_FAULT_RATES,
 ): FaultBelief => {
-  const faultProbability = faultProbabilityAt(belief, now);
-  const { faulty: whenFaulty, healthy: whenHealthy } = EVIDENCE_LIKELIHOOD[evidence];
+  const faultProbability = faultProbabilityAt(belief, now, rates);
+  const { faulty: whenFaulty, healthy: whenHealthy } = likelihoodOf(evidence, rates);
   const posterior =
     (faultProbability * whenFaulty) /
     (faultProbability * whenFaulty + (1 - faultProbability) * whenHealthy);
@@ -74,10 +109,13 @@
 };
 
 /** Returns the probability that a request sent at `now` fails. */
-export const failureProbability = (belief: FaultBelief, now: Instant): number => {
-  const faultProbability = faultProbabilityAt(belief, now);
+export const failureProbability = (
+  belief: FaultBelief,
+  now: Instant,
+  rates: FaultRates = INITIAL_FAULT_RATES,
+): number => {
+  const faultProbability = faultProbabilityAt(belief, now, rates);
   return (
-    faultProbability * FAULT_MODEL.faultyFailureRate +
-    (1 - faultProbability) * FAULT_MODEL.healthyFailureRate
+    faultProbability * rates.faultyFailureRate + (1 - faultProbability) * rates.healthyFailureRate
   );
 };
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -1,4 +1,5 @@
 export * from './fault-model';
+export * from './learned-fault-rates';
 export * from './upstream-key';
 export * from './peer-loads';
 export * from './queue-limit';
--- a/src/core/placement/load-balancer.ts
+++ b/src/core/placement/load-balancer.ts
@@ -17,8 +17,9 @@
 } from '../announcements';
 
 import { chooseUpstream } from './choose-upstream';
-import { faultProbabilityAt, PRIOR_BELIEF, type EvidenceKind } from './fault-model';
+import { PRIOR_BELIEF, type EvidenceKind } from './fault-model';
 import { LearnedCosts } from './learned-costs';
+import { LearnedFaultRates } from './learned-fault-rates';
 import type { Placement, PlacementContext, PlacementRequest } from './placement';
 import { QueueLimit } from './queue-limit';
 import { UnservedShare } from './unserved-share';
@@ -106,6 +107,8 @@
   /** The queue limit that those of the service's upstreams start from. */
   private readonly queueLimit = new QueueLimit();
 
+  private readonly faultRates = new LearnedFaultRates();
+
   /** Learns the costs of the service's requests. */
   readonly costs = new LearnedCosts();
 
@@ -140,10 +143,7 @@
         ({ upstream, terms }) =>
           upstream.state === 'ready' && !terms.isLeaving && now >= terms.heldUntil(hosts),
       )
-      .reduce(
-        (sum, { upstream, belief }) => sum + upstream.slots * (1 - faultProbabilityAt(belief, now)),
-        0,
-      );
+      .reduce((sum, stats) => sum + stats.upstream.slots * (1 - stats.faultProbability(now)), 0);
   }
 
   all(): readonly UpstreamStats[] {
@@ -173,6 +173,7 @@
           now - this.lastPlacedAt > ACTIVE_SERVICE_WINDOW_MS ? undefined : now,
           this.termsSource.termsOf(upstream),
           new QueueLimit(this.queueLimit),
+          this.faultRates,
         ),
       );
     this.allStats = [...this.statsById.values()];
@@ -226,11 +227,11 @@
   beliefs(now: Instant): readonly UpstreamBelief[] {
     return this.allStats
       .filter(({ belief, terms }) => belief !== PRIOR_BELIEF || terms.limit)
-      .map(({ upstream, belief, terms }) => ({
-        id: upstream.id,
-        born: upstream.born,
-        ill: faultProbabilityAt(belief, now),
-        ...(terms.limit ? { limit: toLimitNews(terms.limit, now) } : {}),
+      .map((stats) => ({
+        id: stats.upstream.id,
+        born: stats.upstream.born,
+        ill: stats.faultProbability(now),
+        ...(stats.terms.limit ? { limit: toLimitNews(stats.terms.limit, now) } : {}),
       }));
   }
 
--- a/src/core/placement/upstream-stats.ts
+++ b/src/core/placement/upstream-stats.ts
@@ -3,7 +3,15 @@
 import { PendingWork, SpeedEstimate, type PendingRequest } from '../cost';
 
 import { QueueLimit } from './queue-limit';
-import { updateBelief, PRIOR_BELIEF, type FaultBelief, type EvidenceKind } from './fault-model';
+import {
+  failureProbability,
+  faultProbabilityAt,
+  updateBelief,
+  PRIOR_BELIEF,
+  type FaultBelief,
+  type EvidenceKind,
+} from './fault-model';
+import { LearnedFaultRates, type TakenState } from './learned-fault-rates';
 import { PeerLoads, type PeerLoad } from './peer-loads';
 import { upstreamKeyOf } from './upstream-key';
 
@@ -61,6 +69,9 @@
 export class UpstreamStats {
   belief: FaultBelief = PRIOR_BELIEF;
 
+  /** The state that the last evidence showed; see `LearnedFaultRates`. */
+  private takenState: TakenState = 'unknown';
+
   /** Identifies the run of the upstream in messages between gateways. */
   readonly key: number;
 
@@ -108,6 +119,8 @@
     readonly terms: UpstreamTerms = new UpstreamTerms(entry.id),
     /** The number of requests that the upstream queues before it rejects work. */
     readonly queueLimit: QueueLimit = new QueueLimit(),
+    /** What is learned of the faults of the service's upstreams. */
+    private readonly faultRates: LearnedFaultRates = new LearnedFaultRates(),
   ) {
     this.key = upstreamKeyOf(entry);
   }
@@ -260,8 +273,21 @@
     return now < this.avoidedUntil;
   }
 
+  /** Returns the probability, from 0 to 1, that the upstream is faulty at `now`. */
+  faultProbability(now: Instant): number {
+    return faultProbabilityAt(this.belief, now, this.faultRates.current);
+  }
+
+  /** Returns the probability, from 0 to 1, that a request sent at `now` fails. */
+  failureProbability(now: Instant): number {
+    return failureProbability(this.belief, now, this.faultRates.current);
+  }
+
   applyEvidence(evidence: EvidenceKind, now: Instant): void {
-    this.belief = updateBelief(this.belief, evidence, now);
+    const before = this.belief;
+    const after = updateBelief(before, evidence, now, this.faultRates.current);
+    this.belief = after;
+    this.takenState = this.faultRates.record(evidence, { before, after, state: this.takenState });
     if (evidence === 'failed-early' || evidence === 'failed-late') this.lastFailedAt = now;
   }
 
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,6 +1,6 @@
 import { verdictOf, type AttemptOutcome } from '../core/gateway';
 import type { CostFeatures } from '../core/cost';
-import { faultProbabilityAt, type EvidenceKind, type UpstreamStats } from '../core/placement';
+import type { EvidenceKind, UpstreamStats } from '../core/placement';
 import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../model';
 
 import { headerOf } from './answer-parser';
@@ -128,7 +128,7 @@
   const { upstream } = stats;
   const idempotent = isIdempotent(route.kind);
   const sentAt = clock.now();
-  const illBefore = Number(faultProbabilityAt(stats.belief, sentAt).toFixed(PROBABILITY_DECIMALS));
+  const illBefore = Number(stats.faultProbability(sentAt).toFixed(PROBABILITY_DECIMALS));
   const pending = stats.work.get(request.id);
   const overdue = setTimeout(() => {
     void context.path.confirm().then((isGood) => {
