--- a/test/gateway/announcements.test.ts
+++ b/test/gateway/announcements.test.ts
@@ -13,6 +13,8 @@
 /** Most requests in a window: one and a half times what the limit allows, and 5. */
 const MAX_IN_WINDOW = 1.5 * LIMIT_PER_SECOND * (WINDOW_MS / 1000) + 5;
 const REQUEST_GAP_MS = 25;
+/** Number of requests after which an upstream counts as known. */
+const WARM_UP_COUNT = 3;
 const PAUSE_MS = 2500;
 /** Time after a 503 from which the pause has to hold, and most requests in the rest of it. */
 const PAUSE_GRACE_MS = 500;
@@ -64,7 +66,9 @@
     const [limited] = harness.upstreams;
     if (!limited) throw new Error('no upstream');
     // Requests that may be repeated make all upstreams known as good, so that the load uses each.
-    await load(harness, '/read/', 1000);
+    await loadUntil(harness, '/read/', () =>
+      harness.upstreams.every(({ runs }) => runs.length >= WARM_UP_COUNT),
+    );
     limited.announces = [`Server-Limit: ${LIMIT_PER_SECOND}`];
     const announcedAt = Date.now();
     const statuses = await load(harness, '/w/', LIMIT_BINDS_AFTER_MS + 2 * WINDOW_MS);
--- a/test/gateway/follower-proofs.test.ts
+++ b/test/gateway/follower-proofs.test.ts
@@ -98,7 +98,9 @@
 
   it('reads at once when asked to, also after failures if nothing else repeats them', async () => {
     const { reads } = start([page(3, [], true), BUSY, BUSY]);
-    await sleep(300);
+    // Until the second failed read, whose repetition is due.
+    while (reads.length < 3) await sleep(10);
+    await sleep(0);
     const before = reads.length;
     void follower.readNow();
     expect(reads.length).toEqual(before);
