Switch off single mechanisms to measure what each is worth

The line of an attempt has the age of the evidence about its upstream.

Tests: with all mechanisms off, requests that are not idempotent run at most once and never if refused, no more upstreams run a request than its route allows, a draining upstream gets nothing and a later configuration comes into force.

--- a/src/core/gateway/windowed-retry-budget.ts
+++ b/src/core/gateway/windowed-retry-budget.ts
@@ -94,6 +94,8 @@
   constructor(
     private readonly bounds: () => RetryBounds,
     private readonly startedAt: Instant,
+    /** Whether retries of more urgent requests are provided for. */
+    private readonly hasReserve = true,
   ) {}
 
   recordRequest(now: Instant): void {
@@ -134,6 +136,7 @@
       case 'hedge':
         return HEDGE_BUDGET_RATIO * allowed;
       case 'failed':
+        if (!this.hasReserve) return allowed;
         return allowed - RESERVED_TIME_MS * this.demand.rateAbove(priority, now);
     }
   }
--- a/src/core/placement/choose-upstream.ts
+++ b/src/core/placement/choose-upstream.ts
@@ -174,7 +174,7 @@
   );
   if (available.length === 0) return { kind: 'full' };
   if (request.tried.size === 0 && context.isOwner) {
-    const newcomer = findNewcomer(available, now);
+    const newcomer = context.disabled.has('newcomers') ? undefined : findNewcomer(available, now);
     if (newcomer) return { kind: 'send', stats: newcomer, why: 'newcomer' };
     const next = mayCover(request, context) ? findUpstreamToCover(open, context) : undefined;
     if (next && hasCapacity(next, request, now)) return { kind: 'send', stats: next, why: 'cover' };
@@ -183,6 +183,7 @@
     now,
     dataCentre: context.dataCentre,
     costs: context.costs,
+    disabled: context.disabled,
     hasFreeSlotElsewhere: available.some(
       (stats) =>
         stats.upstream.dataCentre !== context.dataCentre && hasFreeSlot(stats, request, now),
--- a/src/core/placement/expected-cost.ts
+++ b/src/core/placement/expected-cost.ts
@@ -45,7 +45,10 @@
 } as const;
 
 /** The state of the node and the service that the cost of an upstream depends on. */
-export interface CostContext extends Pick<PlacementContext, 'now' | 'dataCentre' | 'costs'> {
+export interface CostContext extends Pick<
+  PlacementContext,
+  'now' | 'dataCentre' | 'costs' | 'disabled'
+> {
   /** Whether an upstream of another data centre that may be chosen has a free slot. */
   readonly hasFreeSlotElsewhere: boolean;
 }
@@ -128,8 +131,9 @@
   isLocal: boolean,
   isFull: boolean,
   request: PlacementRequest,
-  { hasFreeSlotElsewhere }: CostContext,
+  { hasFreeSlotElsewhere, disabled }: CostContext,
 ): number => {
+  if (disabled.has('transfer-cost')) return 0;
   if (!isLocal) return COST_WEIGHTS.otherDataCentre + transferCost(request);
   return isFull && hasFreeSlotElsewhere ? transferCost(request) : 0;
 };
@@ -166,6 +170,7 @@
   context: CostContext,
 ): number => {
   const { slots } = stats.upstream;
+  if (context.disabled.has('load-placement')) return 0;
   if (request.cost) return completionCost(stats, request.cost, request, context);
   return (
     queueDelayCost(load, slots, request) +
--- a/src/core/placement/learned-fault-rates.ts
+++ b/src/core/placement/learned-fault-rates.ts
@@ -100,6 +100,9 @@
 
   private learned = INITIAL_FAULT_RATES;
 
+  /** Without `learns`, the initial rates hold. */
+  constructor(private readonly learns = true) {}
+
   /** The rates as learned so far. */
   get current(): FaultRates {
     return this.learned;
@@ -107,6 +110,7 @@
 
   /** Takes in what a piece of evidence changed; returns the state of the upstream after it. */
   record(evidence: EvidenceKind, { before, after, state }: BeliefChange): TakenState {
+    if (!this.learns) return state;
     this.decay(after.at);
     const { observed } = this;
     const { faultProbability } = after;
--- a/src/core/placement/load-balancer.ts
+++ b/src/core/placement/load-balancer.ts
@@ -1,10 +1,12 @@
-import type {
-  DataCentre,
-  GatewayUpstream,
-  Instant,
-  Millis,
-  ServiceName,
-  UpstreamId,
+import {
+  NONE_DISABLED,
+  type DataCentre,
+  type DisabledMechanisms,
+  type GatewayUpstream,
+  type Instant,
+  type Millis,
+  type ServiceName,
+  type UpstreamId,
 } from '../../model';
 
 import {
@@ -107,7 +109,7 @@
   /** The queue limit that those of the service's upstreams start from. */
   private readonly queueLimit = new QueueLimit();
 
-  private readonly faultRates = new LearnedFaultRates();
+  private readonly faultRates: LearnedFaultRates;
 
   /** Learns the costs of the service's requests. */
   readonly costs = new LearnedCosts();
@@ -121,7 +123,10 @@
     private readonly minCoverageRatio: () => number,
     private readonly random: () => number,
     private readonly termsSource: TermsSource = createTermsOfOneHost(),
-  ) {}
+    private readonly disabled: DisabledMechanisms = NONE_DISABLED,
+  ) {
+    this.faultRates = new LearnedFaultRates(!disabled.has('learned-fault-rates'));
+  }
 
   get size(): number {
     return this.allStats.length;
@@ -172,8 +177,9 @@
           upstream,
           now - this.lastPlacedAt > ACTIVE_SERVICE_WINDOW_MS ? undefined : now,
           this.termsSource.termsOf(upstream),
-          new QueueLimit(this.queueLimit),
+          new QueueLimit(this.queueLimit, !this.disabled.has('learned-queue-limit')),
           this.faultRates,
+          !this.disabled.has('fault-beliefs'),
         ),
       );
     this.allStats = [...this.statsById.values()];
@@ -205,6 +211,7 @@
       random: this.random,
       minCoverageRatio: this.minCoverageRatio(),
       costs: this.costs.ofService(),
+      disabled: this.disabled,
       coverage: this.coverage(now),
     });
     if (placement.kind === 'send') {
@@ -220,7 +227,8 @@
 
   private coverage(now: Instant): PlacementContext['coverage'] {
     if (this.requestsSinceCoverage < REQUESTS_BETWEEN_COVERAGE_COUNT) return 'none';
-    return this.unservedShare.isHigh(now) ? 'all' : 'retryable';
+    const isNeeded = this.unservedShare.isHigh(now) || this.disabled.has('spared-coverage');
+    return isNeeded ? 'all' : 'retryable';
   }
 
   /** Returns this node's beliefs at `now` about the upstreams it has evidence or a belief of. */
--- a/src/core/placement/placement.ts
+++ b/src/core/placement/placement.ts
@@ -1,4 +1,4 @@
-import type { DataCentre, Instant, Millis, UpstreamId } from '../../model';
+import type { DataCentre, DisabledMechanisms, Instant, Millis, UpstreamId } from '../../model';
 import type { SendingHosts } from '../announcements';
 import type { CostEstimate, Slowdown } from '../cost';
 
@@ -76,6 +76,8 @@
    */
   readonly minCoverageRatio: number;
   readonly costs: ServiceCosts;
+  /** The mechanisms that are switched off for a measurement. */
+  readonly disabled: DisabledMechanisms;
   /**
    * Which requests may go to an upstream because that has had none recently: none, those that may
    * be retried, or all.
--- a/src/core/placement/queue-limit.ts
+++ b/src/core/placement/queue-limit.ts
@@ -60,7 +60,11 @@
   private current = MAX_QUEUED_COUNT;
 
   /** `parent` is the limit of the service, from which that of an upstream starts. */
-  constructor(private readonly parent?: QueueLimit) {}
+  constructor(
+    private readonly parent?: QueueLimit,
+    /** Without it, the limit stays at the highest. */
+    private readonly learns = true,
+  ) {}
 
   /** Returns the number of requests beyond the slots that the upstream may be made to hold. */
   limit(now: Instant): number {
@@ -70,6 +74,7 @@
 
   /** Records whether the upstream took a request, for it and for its service. */
   record(evidence: QueueEvidence, now: Instant): void {
+    if (!this.learns) return;
     this.parent?.record(evidence, now);
     const { refused } = evidence;
     const level = Math.max(0, Math.round(evidence.level));
--- a/src/core/placement/upstream-stats.ts
+++ b/src/core/placement/upstream-stats.ts
@@ -121,6 +121,8 @@
     readonly queueLimit: QueueLimit = new QueueLimit(),
     /** What is learned of the faults of the service's upstreams. */
     private readonly faultRates: LearnedFaultRates = new LearnedFaultRates(),
+    /** Whether evidence changes the belief. */
+    private readonly learnsFaults = true,
   ) {
     this.key = upstreamKeyOf(entry);
   }
@@ -278,24 +280,31 @@
     return faultProbabilityAt(this.belief, now, this.faultRates.current);
   }
 
+  /** Returns the age of the newest evidence in milliseconds; undefined without any. */
+  evidenceAge(now: Instant): Millis | undefined {
+    return this.belief === PRIOR_BELIEF ? undefined : now - this.belief.at;
+  }
+
   /** Returns the probability, from 0 to 1, that a request sent at `now` fails. */
   failureProbability(now: Instant): number {
     return failureProbability(this.belief, now, this.faultRates.current);
   }
 
   applyEvidence(evidence: EvidenceKind, now: Instant): void {
+    if (evidence === 'failed-early' || evidence === 'failed-late') this.lastFailedAt = now;
+    if (!this.learnsFaults) return;
     const before = this.belief;
     const after = updateBelief(before, evidence, now, this.faultRates.current);
     this.belief = after;
     this.takenState = this.faultRates.record(evidence, { before, after, state: this.takenState });
-    if (evidence === 'failed-early' || evidence === 'failed-late') this.lastFailedAt = now;
   }
 
   /**
    * Sets the fault probability, 0 to 1, to another node's estimate if this node has no evidence.
    */
   adoptBelief(faultProbability: number, now: Instant): void {
-    if (this.belief === PRIOR_BELIEF) this.belief = { faultProbability, at: now };
+    if (this.learnsFaults && this.belief === PRIOR_BELIEF)
+      this.belief = { faultProbability, at: now };
   }
 
   /** Applies the conclusion from an attempt that has ended. */
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -129,6 +129,7 @@
   const idempotent = isIdempotent(route.kind);
   const sentAt = clock.now();
   const illBefore = Number(stats.faultProbability(sentAt).toFixed(PROBABILITY_DECIMALS));
+  const evidenceAge = stats.evidenceAge(sentAt);
   const pending = stats.work.get(request.id);
   const overdue = setTimeout(() => {
     void context.path.confirm().then((isGood) => {
@@ -186,6 +187,7 @@
         : {}),
       queueLimit: stats.queueLimit.limit(clock.now()),
       illBefore,
+      ...(evidenceAge === undefined ? {} : { evidenceAgeMs: Math.round(evidenceAge) }),
     });
   }
   telemetry.latency('attempt', took);
--- a/src/gateway/evidence-exchange.ts
+++ b/src/gateway/evidence-exchange.ts
@@ -4,7 +4,7 @@
 import type { Incarnation, Instant, Member, ServiceName, UpstreamId } from '../model';
 
 import { logTermsChanges } from './announcements';
-import type { GatewayContext } from './context';
+import { disabledIn, type GatewayContext } from './context';
 import { DATAGRAM_VERSION, readsReports } from './datagram';
 import { ReportSender } from './report-sender';
 import {
@@ -62,6 +62,7 @@
     evidence: EvidenceKind,
     sentAt: Instant,
   ): void {
+    if (disabledIn(this.context).has('shared-evidence')) return;
     this.outbox.add(service, stats, evidence, sentAt);
     this.reports.add(service, stats, evidence, sentAt);
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,7 +17,7 @@
 import type { RequestContext } from './attempt';
 import { ProxiedRequest } from './proxied-request';
 import { CallerServer, type CallerService } from './caller-server';
-import type { GatewayContext } from './context';
+import { disabledIn, type GatewayContext } from './context';
 import { Feeds } from './feeds';
 import type { ReadTiming } from './follower';
 import { MemoryGuard } from './memory-guard';
@@ -210,7 +210,12 @@
         throw new Error(`can't listen on ${err.address}:${err.port}: ${err.code}`);
       });
     }
-    telemetry.event('started', { node: settings.node, dataCentre: settings.dataCentre });
+    const disabled = [...disabledIn(this.context)].join(',');
+    telemetry.event('started', {
+      node: settings.node,
+      dataCentre: settings.dataCentre,
+      ...(disabled === '' ? {} : { disabled }),
+    });
     this.feeds.start();
   }
 
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -2,6 +2,7 @@
 import type { UpstreamStats } from '../core/placement';
 import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../model';
 
+import { disabledIn } from './context';
 import { costFeaturesOf, runAttempt, type RequestContext } from './attempt';
 import { NOT_RUN_STATUSES, UNFRAMED, type CallerRequest } from './forwarding';
 import { hasNotRun, type GatewayReply } from './gateway-reply';
@@ -195,6 +196,7 @@
 
   /** Whether a hedge beside the running attempt stays within the attempts that the route allows. */
   private mayHedge(): boolean {
+    if (disabledIn(this.context).has('hedges')) return false;
     return this.idempotent && this.runs + 2 <= this.maxRuns;
   }
 
@@ -242,7 +244,8 @@
     const now = this.context.clock.now();
     if (outcome.kind === 'cancelled') return { kind: 'nobody' };
     const step = nextStep(outcome, {
-      idempotent: this.idempotent && this.mayCrashAnother(),
+      idempotent:
+        this.idempotent && this.mayCrashAnother() && !disabledIn(this.context).has('retries'),
       runs: this.runs,
       maxRuns: this.maxRuns,
       hasTime:
@@ -283,7 +286,9 @@
       bodyBytes: this.request.body.length,
       meanBytes: this.request.body.length + this.scheduler.balancer.meanBytes(this.route.name),
       meanLatency,
-      cost: this.scheduler.balancer.costs.estimate(costFeaturesOf(this.request, this.route)),
+      cost: disabledIn(this.context).has('learned-cost')
+        ? undefined
+        : this.scheduler.balancer.costs.estimate(costFeaturesOf(this.request, this.route)),
       objective: arrivedAt + this.route.latencyObjective - now,
       remaining: this.deadline - now,
       lastResort: false,
--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/service-scheduler.ts
@@ -6,10 +6,17 @@
   type TermsSource,
   type UpstreamStats,
 } from '../core/placement';
-import { RequestQueue, type ServiceCapacity } from '../core/waiting';
-import type { GatewayUpstream, Instant, Millis, ServiceName, UpstreamId } from '../model';
-
-import type { GatewayContext } from './context';
+import { RequestQueue, type QueueDecision, type ServiceCapacity } from '../core/waiting';
+import type {
+  DisabledMechanisms,
+  GatewayUpstream,
+  Instant,
+  Millis,
+  ServiceName,
+  UpstreamId,
+} from '../model';
+
+import { disabledIn, type GatewayContext } from './context';
 import type { GatewayReply } from './gateway-reply';
 import { QueuedPlacement, type PlacementResult, type QueueablePlacement } from './queued-placement';
 
@@ -52,6 +59,8 @@
 
   readonly retryBudget: WindowedRetryBudget;
 
+  private readonly disabled: DisabledMechanisms;
+
   private readonly queue: RequestQueue<QueuedPlacement>;
 
   private readonly refused = new RefusedPriorities();
@@ -73,8 +82,20 @@
       Math.min(1, context.settings.bounds.floorShare + COVER_MARGIN_RATIO);
     const { dataCentre } = context.settings;
     this.key = serviceKeyOf(name);
-    this.balancer = new LoadBalancer(name, dataCentre, coverShare, context.random, termsSource);
-    this.retryBudget = new WindowedRetryBudget(() => context.settings.bounds, context.clock.now());
+    this.disabled = disabledIn(context);
+    this.balancer = new LoadBalancer(
+      name,
+      dataCentre,
+      coverShare,
+      context.random,
+      termsSource,
+      this.disabled,
+    );
+    this.retryBudget = new WindowedRetryBudget(
+      () => context.settings.bounds,
+      context.clock.now(),
+      !this.disabled.has('retry-reserve'),
+    );
   }
 
   /** Number of queued requests. */
@@ -103,8 +124,11 @@
       if (first.kind === 'send') this.queue.recordImmediateStart(request);
       return Promise.resolve(first);
     }
+    if (this.disabled.has('waiting')) {
+      return Promise.resolve(this.placeLast(request, requestId, this.retryAfter(request)));
+    }
     const admission = this.queue.admit(request, this.capacityFor(request));
-    if (admission.kind === 'refuse') {
+    if (this.mustRefuse(admission)) {
       return Promise.resolve(this.placeLast(request, requestId, admission.retryAfter));
     }
     return new Promise((resolve) => {
@@ -121,6 +145,13 @@
     });
   }
 
+  /** Whether a request that can't be placed now is refused in place of waiting. */
+  private mustRefuse(
+    admission: QueueDecision,
+  ): admission is Extract<QueueDecision, { kind: 'refuse' }> {
+    return admission.kind === 'refuse' && !this.disabled.has('early-refusal');
+  }
+
   /** Places a request even at an upstream for which it would rather wait, or refuses it. */
   private placeLast(
     request: QueueablePlacement,
@@ -250,6 +281,7 @@
 
   /** Ends the waiting of requests for which no start in time can be expected any more. */
   private refuseHopeless(): void {
+    if (this.disabled.has('early-refusal')) return;
     const now = this.context.clock.now();
     const slots = this.balancer.slots(now);
     this.queue
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -14,3 +14,4 @@
 export * from './gateway';
 export * from './feed';
 export * from './announcement';
+export * from './mechanism';
--- a/test/core/placement/choose.test.ts
+++ b/test/core/placement/choose.test.ts
@@ -16,7 +16,7 @@
   type PlacementRequest,
   type PlacementContext,
 } from '../../../src/core/placement';
-import type { GatewayUpstream } from '../../../src/model';
+import { NONE_DISABLED, type GatewayUpstream } from '../../../src/model';
 
 const upstream = (id: string, more: Partial<GatewayUpstream> = {}): GatewayUpstream => ({
   id,
@@ -52,6 +52,7 @@
   random: () => 0,
   minCoverageRatio: 0.76,
   coverage: 'none',
+  disabled: NONE_DISABLED,
   sendingHosts: new SendingHosts(['a'], 'a', 0),
   costs: {
     usual: new CostModel().serviceEstimate(),
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -15,6 +15,7 @@
 } from '../../platform';
 import { systemClock } from '../../src/adapters';
 import { Gateway } from '../../src/gateway';
+import type { DisabledMechanisms } from '../../src/model';
 import type { EventField, Telemetry } from '../../src/ports';
 import {
   startPlatformUpstream,
@@ -180,6 +181,8 @@
   readonly storePort?: number;
   /** Bounds in the settings beside the usual ones. */
   readonly bounds?: readonly string[];
+  /** Mechanisms to switch off. */
+  readonly disabled?: DisabledMechanisms;
 }
 
 /** A gateway in this process, with its store, upstreams and recorded events. */
@@ -226,7 +229,14 @@
     const clock = systemClock;
     const client = new StoreClient(settings.store, clock);
     const gateway = new Gateway(
-      { settings, clock, telemetry, headerConventions, random: Math.random },
+      {
+        settings,
+        clock,
+        telemetry,
+        headerConventions,
+        random: Math.random,
+        disabled: options.disabled,
+      },
       {
         configFeed: configFeed(client),
         upstreamFeed: upstreamFeed(client),
