Let requests that can't be repeated cover unused upstreams before anything fails

Change: they cover when the share in use has fallen 0.1 below that at which repeatable requests cover, and with these where none came within 1.5 s. UnservedShare is removed.

Tests: the simulations with requests that can't be repeated only are back with their bounds, beside those with one repeatable request in four.

--- a/src/core/placement/choose-upstream.ts
+++ b/src/core/placement/choose-upstream.ts
@@ -76,22 +76,6 @@
       now >= stats.upstream.warmedUpAt,
   );
 
-/**
- * Whether a request may go to an upstream that had none recently. Load pattern: many of these are
- * faulty, and most requests can't be repeated; they are spared while others do and few requests go
- * unserved.
- */
-const mayCover = ({ retryable }: PlacementRequest, { coverage }: PlacementContext): boolean => {
-  switch (coverage) {
-    case 'none':
-      return false;
-    case 'retryable':
-      return retryable;
-    case 'all':
-      return true;
-  }
-};
-
 /**
  * Returns the upstream to use next so that enough of those without a recent failure get requests;
  * undefined if enough do. Load pattern: requests concentrate on a few proven upstreams, and many
@@ -176,7 +160,7 @@
   if (request.tried.size === 0 && context.isOwner) {
     const newcomer = context.disabled.has('newcomers') ? undefined : findNewcomer(available, now);
     if (newcomer) return { kind: 'send', stats: newcomer, why: 'newcomer' };
-    const next = mayCover(request, context) ? findUpstreamToCover(open, context) : undefined;
+    const next = findUpstreamToCover(open, context);
     if (next && hasCapacity(next, request, now)) return { kind: 'send', stats: next, why: 'cover' };
   }
   const costContext = {
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -5,7 +5,6 @@
 export * from './queue-limit';
 export * from './upstream-stats';
 export * from './placement';
-export * from './unserved-share';
 export * from './completion-time';
 export * from './learned-costs';
 export * from './expected-cost';
--- a/src/core/placement/load-balancer.ts
+++ b/src/core/placement/load-balancer.ts
@@ -18,13 +18,12 @@
   type TermsChange,
 } from '../announcements';
 
-import { chooseUpstream } from './choose-upstream';
+import { chooseUpstream, RECENT_USE_WINDOW_MS } from './choose-upstream';
 import { PRIOR_BELIEF, type EvidenceKind } from './fault-model';
 import { LearnedCosts } from './learned-costs';
 import { LearnedFaultRates } from './learned-fault-rates';
-import type { Placement, PlacementContext, PlacementRequest } from './placement';
+import type { Placement, PlacementRequest } from './placement';
 import { QueueLimit } from './queue-limit';
-import { UnservedShare } from './unserved-share';
 import { UpstreamStats } from './upstream-stats';
 
 /** Latency and body length of one answer, or their means over a route's answers. */
@@ -88,6 +87,12 @@
  */
 const REQUESTS_BETWEEN_COVERAGE_COUNT = 4;
 
+/**
+ * Difference by which the ratio of upstreams in use may fall further before requests that can't be
+ * repeated cover unused ones too.
+ */
+const SPARED_COVERAGE_RATIO = 0.1;
+
 /**
  * Holds the upstreams of one service with this node's statistics of each, and chooses among them.
  */
@@ -102,7 +107,8 @@
   /** Number of requests sent since the last one that was used for coverage (`why` is `cover`). */
   private requestsSinceCoverage = 0;
 
-  private readonly unservedShare = new UnservedShare();
+  /** When a request that may be retried was last placed. */
+  private lastRetryableAt: Instant = Number.NEGATIVE_INFINITY;
 
   private lastPlacedAt: Instant = Number.NEGATIVE_INFINITY;
 
@@ -203,16 +209,16 @@
    */
   place(request: PlacementRequest, isOwner: boolean, now: Instant): Placement {
     this.lastPlacedAt = now;
+    if (request.retryable) this.lastRetryableAt = now;
     const placement = chooseUpstream(this.allStats, request, {
       now,
       dataCentre: this.dataCentre,
       isOwner,
       sendingHosts: this.termsSource.sendingHosts(now),
       random: this.random,
-      minCoverageRatio: this.minCoverageRatio(),
+      minCoverageRatio: this.coverageRatio(request, now),
       costs: this.costs.ofService(),
       disabled: this.disabled,
-      coverage: this.coverage(now),
     });
     if (placement.kind === 'send') {
       this.requestsSinceCoverage = placement.why === 'cover' ? 0 : this.requestsSinceCoverage + 1;
@@ -220,15 +226,19 @@
     return placement;
   }
 
-  /** Records a request that has ended, unless its caller left. */
-  recordEnded(isServed: boolean, now: Instant): void {
-    this.unservedShare.record(isServed, now);
-  }
-
-  private coverage(now: Instant): PlacementContext['coverage'] {
-    if (this.requestsSinceCoverage < REQUESTS_BETWEEN_COVERAGE_COUNT) return 'none';
-    const isNeeded = this.unservedShare.isHigh(now) || this.disabled.has('spared-coverage');
-    return isNeeded ? 'all' : 'retryable';
+  /**
+   * Returns the ratio of the upstreams that are to be in use; 0 if this request need not cover any.
+   * Load pattern: many of the unused upstreams are faulty, and most requests can't be repeated;
+   * these cover later than requests that may be repeated, if there are any.
+   */
+  private coverageRatio({ retryable }: PlacementRequest, now: Instant): number {
+    if (this.requestsSinceCoverage < REQUESTS_BETWEEN_COVERAGE_COUNT) return 0;
+    const ratio = this.minCoverageRatio();
+    const isSpared =
+      !retryable &&
+      now - this.lastRetryableAt < RECENT_USE_WINDOW_MS &&
+      !this.disabled.has('spared-coverage');
+    return isSpared ? ratio - SPARED_COVERAGE_RATIO : ratio;
   }
 
   /** Returns this node's beliefs at `now` about the upstreams it has evidence or a belief of. */
--- a/src/core/placement/placement.ts
+++ b/src/core/placement/placement.ts
@@ -72,15 +72,10 @@
   readonly random: () => number;
   /**
    * Lowest ratio, 0 to 1, of the upstreams without a recent failure that should have had a recent
-   * request.
+   * request; below it, this request goes to one that had none.
    */
   readonly minCoverageRatio: number;
   readonly costs: ServiceCosts;
   /** The mechanisms that are switched off for a measurement. */
   readonly disabled: DisabledMechanisms;
-  /**
-   * Which requests may go to an upstream because that has had none recently: none, those that may
-   * be retried, or all.
-   */
-  readonly coverage: 'none' | 'retryable' | 'all';
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -306,7 +306,6 @@
     const scheduler = this.schedulers.of(this.roundRobin.next(route));
     const proxiedRequest = new ProxiedRequest(this.requestContext, request, route, scheduler);
     const reply = await proxiedRequest.run();
-    scheduler.recordReply(reply);
     if (hasNotRun(reply)) request.quotaToken?.giveBack();
     this.requestContext.log.logEnded({
       request,
--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/service-scheduler.ts
@@ -17,7 +17,6 @@
 } from '../model';
 
 import { disabledIn, type GatewayContext } from './context';
-import type { GatewayReply } from './gateway-reply';
 import { QueuedPlacement, type PlacementResult, type QueueablePlacement } from './queued-placement';
 
 /**
@@ -41,9 +40,6 @@
  */
 const MIN_DRAIN_INTERVAL_MS: Millis = 5;
 
-/** The lowest HTTP status with which an upstream says that it failed to serve a request. */
-const FIRST_SERVER_ERROR_STATUS = 500;
-
 /** Number of queued requests that may fail to be placed before a drain of the queue stops. */
 const MAX_FAILED_PLACEMENT_COUNT = 3;
 
@@ -222,13 +218,6 @@
     this.drainQueue();
   }
 
-  /** Records the reply to one of the service's requests. */
-  recordReply(reply: GatewayReply): void {
-    if (reply.kind === 'nobody') return;
-    const isServed = reply.kind === 'answer' && reply.head.status < FIRST_SERVER_ERROR_STATUS;
-    this.balancer.recordEnded(isServed, this.context.clock.now());
-  }
-
   /** Releases the slot of an attempt that has ended. */
   release(stats: UpstreamStats, requestId: string): void {
     stats.attemptEnded(requestId);
--- a/src/model/mechanism.ts
+++ b/src/model/mechanism.ts
@@ -12,7 +12,7 @@
   'fault-beliefs',
   /** Rates of faults are learned; off: the initial ones hold. */
   'learned-fault-rates',
-  /** Requests that can't be repeated cover unused upstreams only if needed; off: as all others. */
+  /** Requests that can't be repeated cover unused upstreams later than others; off: alike. */
   'spared-coverage',
   /** Upstreams that have joined get a request soon. */
   'newcomers',
--- a/test/core/placement/choose.test.ts
+++ b/test/core/placement/choose.test.ts
@@ -50,8 +50,7 @@
   dataCentre: 'a',
   isOwner: true,
   random: () => 0,
-  minCoverageRatio: 0.76,
-  coverage: 'none',
+  minCoverageRatio: 0,
   disabled: NONE_DISABLED,
   sendingHosts: new SendingHosts(['a'], 'a', 0),
   costs: {
@@ -160,7 +159,7 @@
     const placed = chooseUpstream(
       [proven('p', 1000), ...unused],
       request(),
-      context(1000, { coverage: 'all' }),
+      context(1000, { minCoverageRatio: 0.76 }),
     );
     expect(placed.kind === 'send' && [placed.why, placed.stats.upstream.id]).toEqual([
       'cover',
@@ -170,24 +169,35 @@
     const other = chooseUpstream(
       [proven('p', 1000), ...used],
       request(),
-      context(1000, { coverage: 'all' }),
+      context(1000, { minCoverageRatio: 0.76 }),
     );
     expect(other.kind === 'send' && other.why).toEqual('proven');
   });
 
-  it('covers with a request that can not be repeated only while many go unserved', () => {
-    const candidates = [proven('p', 1000), stats('u1'), stats('u2')];
-    const why = (retryable: boolean, coverage: PlacementContext['coverage']): string => {
-      const placed = chooseUpstream(
-        candidates,
-        request({ retryable }),
-        context(1000, { coverage }),
+  it('covers with requests that can not be repeated later, if others are there to cover', () => {
+    const whyAfter = (usedCount: number, retryable: boolean, hasRetryable: boolean): string => {
+      const balancer = new LoadBalancer(
+        'shop',
+        'a',
+        () => 0.85,
+        () => 0,
       );
-      return placed.kind === 'send' ? placed.why : placed.kind;
+      for (let i = 0; i < 10; i++) balancer.put(upstream(`u${i}`), 0);
+      balancer.all().forEach((each, i) => {
+        each.applyEvidence('good', 4900);
+        Object.assign(each, { lastSentAt: i < usedCount ? 4900 : 3000 });
+      });
+      const place = (more: Partial<PlacementRequest>): string => {
+        const placed = balancer.place(request(more), true, 5000);
+        return placed.kind === 'send' ? placed.why : placed.kind;
+      };
+      for (let i = 0; i < 4; i++) place({ retryable: hasRetryable });
+      return place({ retryable });
     };
-    expect(why(false, 'retryable')).toEqual('proven');
-    expect(why(true, 'retryable')).toEqual('cover');
-    expect(why(false, 'all')).toEqual('cover');
+    expect(whyAfter(8, true, true)).toEqual('cover');
+    expect(whyAfter(8, false, true)).toEqual('proven');
+    expect(whyAfter(7, false, true)).toEqual('cover');
+    expect(whyAfter(8, false, false)).toEqual('cover');
   });
 
   it('chooses randomly between upstreams of equal cost', () => {
@@ -220,12 +230,9 @@
     readonly underFloorRatio: number;
   }
 
-  /**
-   * The requests: one in four may be retried and all end served, or none may be retried and one in
-   * nine goes unserved, for which the floor holds.
-   */
-  type Mix = 'some retryable' | 'many unserved';
-  const MIXES: readonly Mix[] = ['some retryable', 'many unserved'];
+  /** One request in four may be retried, or none may. */
+  type Mix = 'some retryable' | 'none retryable';
+  const MIXES: readonly Mix[] = ['some retryable', 'none retryable'];
 
   const simulate = (seed: number, minCoverageRatio: number, mix: Mix): SimulationResult => {
     const rng = xoroshiro128plus(seed);
@@ -250,7 +257,6 @@
         Object.assign(state, { isFaulty: draw() < 0.3, until: now + 6000 + draw() * 6000 });
       });
       const retryable = mix === 'some retryable' && i % 4 === 0;
-      balancer.recordEnded(mix === 'some retryable' || i % 9 > 0, now);
       const placed = balancer.place(
         request({ meanLatency: 470, objective: 2000, retryable }),
         true,
--- a/test/core/placement/owners.test.ts
+++ b/test/core/placement/owners.test.ts
@@ -29,15 +29,10 @@
   readonly owners: number;
 }
 
-/**
- * The requests of a load: one in four may be retried and all end served, or none may be retried and
- * more than a tenth go unserved, for which the floor holds.
- */
-type Mix = 'some retryable' | 'many unserved';
+/** One request in four of a load may be retried, or none may. */
+type Mix = 'some retryable' | 'none retryable';
 
-/** One in so many requests may be retried, or goes unserved. */
 const RETRYABLE_INTERVAL_COUNT = 4;
-const UNSERVED_INTERVAL_COUNT = 9;
 
 /** Result of a simulation; the ratios are of all requests. */
 interface SimulationResult {
@@ -110,9 +105,6 @@
       true,
       now,
     );
-    balancers.forEach((each) =>
-      each.recordEnded(mix === 'some retryable' || n % UNSERVED_INTERVAL_COUNT > 0, now),
-    );
     if (!balancer || placed?.kind !== 'send')
       throw new Error('expected a chosen upstream, got none');
     const { stats } = placed;
@@ -184,7 +176,7 @@
   };
 };
 
-const MIXES: readonly Mix[] = ['some retryable', 'many unserved'];
+const MIXES: readonly Mix[] = ['some retryable', 'none retryable'];
 
 describe('owners that send requests to the same upstreams', () => {
   const loads: readonly Load[] = [
