Split facts of attempts and the source of terms from two large modules

Change: moves AttemptVerdict and the types of requests in flight to attempt-facts.ts, and TermsSource to terms-source.ts. Nothing else changes.

--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -1,5 +1,6 @@
 export * from './fault-model';
 export * from './learned-fault-rates';
+export * from './attempt-facts';
 export * from './upstream-key';
 export * from './peer-loads';
 export * from './queue-limit';
@@ -9,4 +10,5 @@
 export * from './learned-costs';
 export * from './expected-cost';
 export * from './choose-upstream';
+export * from './terms-source';
 export * from './load-balancer';
--- a/src/core/placement/load-balancer.ts
+++ b/src/core/placement/load-balancer.ts
@@ -9,14 +9,7 @@
   type UpstreamId,
 } from '../../model';
 
-import {
-  SendingHosts,
-  UpstreamTerms,
-  fromLimitNews,
-  toLimitNews,
-  type LimitNews,
-  type TermsChange,
-} from '../announcements';
+import { fromLimitNews, toLimitNews, type LimitNews, type TermsChange } from '../announcements';
 
 import { chooseUpstream, RECENT_USE_WINDOW_MS } from './choose-upstream';
 import { PRIOR_BELIEF, type EvidenceKind } from './fault-model';
@@ -24,6 +17,7 @@
 import { LearnedFaultRates } from './learned-fault-rates';
 import type { Placement, PlacementRequest } from './placement';
 import { QueueLimit } from './queue-limit';
+import { createTermsOfOneHost, type TermsSource } from './terms-source';
 import { UpstreamStats } from './upstream-stats';
 
 /** Latency and body length of one answer, or their means over a route's answers. */
@@ -66,20 +60,6 @@
   readonly limit?: LimitNews | undefined;
 }
 
-/** What a balancer asks about the limits that upstreams announce. */
-export interface TermsSource {
-  /** Returns the terms of an upstream's run. */
-  termsOf(upstream: GatewayUpstream): UpstreamTerms;
-  /** Returns the hosts that share the limits of the service's upstreams. */
-  sendingHosts(now: Instant): SendingHosts;
-}
-
-/** Terms for a host that sends alone. */
-const createTermsOfOneHost = (): TermsSource => {
-  const hosts = new SendingHosts(['self'], 'self', Number.NEGATIVE_INFINITY);
-  return { termsOf: ({ id }) => new UpstreamTerms(id), sendingHosts: () => hosts };
-};
-
 /** Time in milliseconds since its last request within which a service counts as active. */
 const ACTIVE_SERVICE_WINDOW_MS: Millis = 2000;
 /**
--- a/src/core/placement/upstream-stats.ts
+++ b/src/core/placement/upstream-stats.ts
@@ -1,6 +1,6 @@
 import type { GatewayUpstream, Instant, Millis } from '../../model';
 import { UpstreamTerms } from '../announcements';
-import { PendingWork, SpeedEstimate, type PendingRequest } from '../cost';
+import { PendingWork, SpeedEstimate } from '../cost';
 
 import { QueueLimit } from './queue-limit';
 import {
@@ -12,6 +12,7 @@
   type EvidenceKind,
 } from './fault-model';
 import { LearnedFaultRates, type TakenState } from './learned-fault-rates';
+import type { AttemptVerdict, InFlightRequest, ReportedLoad, SentRequest } from './attempt-facts';
 import { PeerLoads, type PeerLoad } from './peer-loads';
 import { upstreamKeyOf } from './upstream-key';
 
@@ -29,42 +30,6 @@
 /** Time in milliseconds for which an upstream that shed a request gets no more. */
 const BUSY_AVOIDANCE_MS: Millis = 150;
 
-/**
- * The conclusion about an upstream from how an attempt ended: evidence for the fault model, `busy`
- * if it shed the request, `unreachable` if it could not be connected to, or `none`.
- */
-export type AttemptVerdict =
-  | { readonly kind: 'evidence'; readonly evidence: EvidenceKind }
-  | { readonly kind: 'busy' | 'unreachable' | 'none' };
-
-/** The numbers of requests at an upstream, as it reports them. */
-export interface ReportedLoad {
-  readonly running: number;
-  readonly waiting: number;
-}
-
-/** Properties of a request that is sent to an upstream. */
-interface SentRequest {
-  /** Mean latency of its route. */
-  readonly meanLatency: Millis;
-  /** Size of its body in bytes. */
-  readonly bodyBytes: number;
-  /** Its expected work; undefined if its cost is not estimated. */
-  readonly pending: PendingRequest | undefined;
-}
-
-/** A request sent to an upstream that has not ended. */
-interface InFlightRequest {
-  readonly startedAt: Instant;
-  /** Time from which the answer is overdue, which is the only sign of an upstream that hangs. */
-  readonly overdueAt: Instant;
-  /** Estimated position in the upstream's queue when it was sent; 0 or less if a slot was free. */
-  readonly level: number;
-  /** The same, counting only this node's requests. */
-  readonly ownLevel: number;
-  readonly bodyBytes: number;
-}
-
 /** Statistics that one node keeps of one run of an upstream. */
 export class UpstreamStats {
   belief: FaultBelief = PRIOR_BELIEF;
