Name the state that evidence shows of an upstream

Cause: TakenState does not say what takes it.

Change: it is ObservedState; two doc comments give what was left out.

Measured: the tests of test/core/placement pass.

--- a/src/core/placement/learned-fault-rates.ts
+++ b/src/core/placement/learned-fault-rates.ts
@@ -72,10 +72,10 @@
 };
 
 /** The state that an upstream was last taken to be in. */
-export type TakenState = 'unknown' | 'healthy' | 'faulty';
+export type ObservedState = 'unknown' | 'healthy' | 'faulty';
 
 /** Returns the state after new evidence; between the two bounds it stays as it was. */
-const nextState = (state: TakenState, faultProbability: number): TakenState => {
+const nextState = (state: ObservedState, faultProbability: number): ObservedState => {
   if (faultProbability >= BECOMES_FAULTY_PROBABILITY) return 'faulty';
   return faultProbability <= BECOMES_HEALTHY_PROBABILITY ? 'healthy' : state;
 };
@@ -84,7 +84,8 @@
 export interface BeliefChange {
   readonly before: FaultBelief;
   readonly after: FaultBelief;
-  readonly state: TakenState;
+  /** The state that the evidence before it showed. */
+  readonly state: ObservedState;
 }
 
 /**
@@ -109,7 +110,7 @@
   }
 
   /** Takes in what a piece of evidence changed; returns the state of the upstream after it. */
-  record(evidence: EvidenceKind, { before, after, state }: BeliefChange): TakenState {
+  record(evidence: EvidenceKind, { before, after, state }: BeliefChange): ObservedState {
     if (!this.learns) return state;
     this.decay(after.at);
     const { observed } = this;
--- a/src/core/placement/load-balancer.ts
+++ b/src/core/placement/load-balancer.ts
@@ -69,7 +69,7 @@
 
 /**
  * Difference by which the ratio of upstreams in use may fall further before requests that can't be
- * repeated cover unused ones too.
+ * repeated cover unused ones too; a third of the margin above the floor is then left.
  */
 const SPARED_COVERAGE_RATIO = 0.1;
 
--- a/src/core/placement/upstream-stats.ts
+++ b/src/core/placement/upstream-stats.ts
@@ -11,7 +11,7 @@
   type FaultBelief,
   type EvidenceKind,
 } from './fault-model';
-import { LearnedFaultRates, type TakenState } from './learned-fault-rates';
+import { LearnedFaultRates, type ObservedState } from './learned-fault-rates';
 import type { AttemptVerdict, InFlightRequest, ReportedLoad, SentRequest } from './attempt-facts';
 import { PeerLoads, type PeerLoad } from './peer-loads';
 import { upstreamKeyOf } from './upstream-key';
@@ -35,7 +35,7 @@
   belief: FaultBelief = PRIOR_BELIEF;
 
   /** The state that the last evidence showed; see `LearnedFaultRates`. */
-  private takenState: TakenState = 'unknown';
+  private observedState: ObservedState = 'unknown';
 
   /** Identifies the run of the upstream in messages between gateways. */
   readonly key: number;
@@ -261,7 +261,11 @@
     const before = this.belief;
     const after = updateBelief(before, evidence, now, this.faultRates.current);
     this.belief = after;
-    this.takenState = this.faultRates.record(evidence, { before, after, state: this.takenState });
+    this.observedState = this.faultRates.record(evidence, {
+      before,
+      after,
+      state: this.observedState,
+    });
   }
 
   /**
