Log callers that leave, and requests that end after their caller left

Cause: the log can't tell why work goes on for callers that have left: a request has neither the number of others on its connection nor the time at which its caller left, and nothing tells how late a host reads.

No logic changes.

--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -58,6 +58,9 @@
   /** The unanswered requests of each connection. */
   private readonly pipelines = new WeakMap<Socket, Pipeline>();
 
+  /** When the connections closed that had unanswered requests. */
+  private readonly departures = new WeakMap<Pipeline, Instant>();
+
   constructor(
     private readonly context: GatewayContext,
     private readonly service: CallerService,
@@ -84,6 +87,7 @@
   onRequest(req: IncomingMessage, res: ServerResponse): void {
     this.lastRequestAt = this.context.clock.now();
     const pipeline = this.pipelineOf(req.socket);
+    pipeline.lastReadAt = this.lastRequestAt;
     const isRead = pipeline.add({ req, res }, () => this.read(req, res));
     if (!isRead) return;
     this.inFlight += 1;
@@ -97,9 +101,34 @@
     if (known) return known;
     const pipeline = new Pipeline(socket);
     this.pipelines.set(socket, pipeline);
+    socket.prependOnceListener('close', () => this.logDeparture(pipeline));
     return pipeline;
   }
 
+  /** Logs that a caller's connection has closed while requests of it are unanswered. */
+  private logDeparture(pipeline: Pipeline): void {
+    const now = this.context.clock.now();
+    this.departures.set(pipeline, now);
+    if (pipeline.openCount === 0) return;
+    this.context.telemetry.count('caller_departures');
+    this.context.telemetry.event('caller-left', {
+      open: pipeline.openCount,
+      waiting: pipeline.waitingCount,
+      readMs: Math.round(now - pipeline.lastReadAt),
+    });
+  }
+
+  /** Logs that a request has ended after its caller's connection closed. */
+  private logUndelivered(socket: Socket, request: CallerRequest, reply: CallerReply): void {
+    const leftAt = this.departures.get(this.pipelineOf(socket));
+    if (leftAt === undefined) return;
+    this.context.telemetry.event('undelivered', {
+      request: request.id,
+      outcome: reply.kind,
+      leftMs: Math.round(this.context.clock.now() - leftAt),
+    });
+  }
+
   /** Reads a request's body, has it served and writes the reply. */
   private read(req: IncomingMessage, res: ServerResponse): void {
     const arrivedAt = this.context.clock.now();
@@ -136,6 +165,7 @@
         .serve(request)
         .then((reply) => {
           release();
+          this.logUndelivered(socket, request, reply);
           this.countAnswer(socket, res, reply);
           this.service.setHeaders?.(res, reply);
           writeReply(res, reply, this.closesAfter(socket, res, reply));
--- a/src/gateway/pipeline.ts
+++ b/src/gateway/pipeline.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+import type { Instant } from '../model';
+
 /** Number of requests of one connection that are served at the same time. */
 const MAX_SERVED_COUNT = 8;
 /**
@@ -23,6 +25,12 @@
   /** The request that was read last. */
   last: CallerExchange | undefined;
 
+  /** When the head of the last request was read. */
+  lastReadAt: Instant = Number.NEGATIVE_INFINITY;
+
+  /** Responses that are not closed, in the order of their requests. */
+  private readonly open = new Set<ServerResponse>();
+
   private readonly waiting: (() => void)[] = [];
 
   private servedCount = 0;
@@ -41,6 +49,9 @@
   add(exchange: CallerExchange, serve: () => void): boolean {
     if (this.isClosing) return false;
     this.last = exchange;
+    const { res } = exchange;
+    this.open.add(res);
+    res.once('close', () => this.open.delete(res));
     if (this.servedCount < MAX_SERVED_COUNT) this.serve(exchange, serve);
     else this.waiting.push(() => this.serve(exchange, serve));
     if (this.waiting.length >= MAX_WAITING_COUNT) {
@@ -50,6 +61,16 @@
     return true;
   }
 
+  /** Number of requests whose responses are not closed, waiting ones included. */
+  get openCount(): number {
+    return this.open.size;
+  }
+
+  /** Number of requests that have been read and are not served yet. */
+  get waitingCount(): number {
+    return this.waiting.length;
+  }
+
   /** Whether no request was read behind that of this response. */
   isLast(res: ServerResponse): boolean {
     return this.last?.res === res;
