End all work for a caller when its connection ends, pipelined or not

What callers and upstreams saw: of six requests pipelined on one connection, one was cancelled after the caller had left; upstreams worked on for the other five, and the gateway counted them as in flight for as long as it ran, so that its planned stop waited for them.

Cause: a disconnection was observed at each response. Node emits close only on the response that holds the socket, and notices a disconnection only while it reads; reading stopped with 32 requests waiting, a body that was too large, memory running short, or large answers held back by Node for their turn. The class: the end of a caller's interest taken for a fact of a response, while it is one of the connection.

Memory of pipelined requests was released before too. The test of pipelining.test.ts that passed while the fault was there waited 10 s for four cancellations of any kind; upstreams of 1.5 s and hedges supplied them.

Change: CallerConnection observes the end once and ends its exchanges; cancellation, the count in flight, memory and streamed answers hang on that. Reading never stops while a request of the connection is served: after 40 unanswered requests, or for a body that can't be kept, the connection takes no more and closes behind its last response. Answers are handed to Node in their turn.

--- /dev/null
+++ b/src/gateway/caller-connection.ts
@@ -0,0 +1,181 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+import type { Instant } from '../model';
+
+/** Number of requests of one connection that are served at the same time. */
+const MAX_SERVED_COUNT = 8;
+/** Number of unanswered requests after which a connection takes no more, and closes behind them. */
+const MAX_OPEN_COUNT = 40;
+
+/**
+ * A request of a caller and its response. It ends when the response is complete or the caller
+ * leaves, whichever comes first; whatever works or waits for the request ends with it.
+ */
+export class CallerExchange {
+  private readonly controller = new AbortController();
+
+  constructor(
+    readonly req: IncomingMessage,
+    readonly res: ServerResponse,
+  ) {
+    res.once('close', () => this.end());
+  }
+
+  /** Aborted at the end of the exchange. */
+  get ended(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  /** Calls `listener` once, at the end of the exchange or at once if it has ended. */
+  onEnd(listener: () => void): void {
+    if (this.ended.aborted) listener();
+    else this.ended.addEventListener('abort', listener, { once: true });
+  }
+
+  /** Ends the exchange; ending it again has no effect. */
+  end(): void {
+    this.controller.abort();
+  }
+}
+
+/** An exchange that is not over, and the response that waits for those of earlier requests. */
+interface OpenExchange {
+  readonly exchange: CallerExchange;
+  respond?: () => void;
+}
+
+/** Ends exchanges, the last ones first, so that none that waits is served in the place of one. */
+const endAll = (open: readonly OpenExchange[]): void =>
+  open.toReversed().forEach(({ exchange }) => exchange.end());
+
+/**
+ * The connection of a caller with its unanswered requests. Reading never stops while a request is
+ * served, so that a disconnection is noticed, and ends all exchanges: Node's server itself reports
+ * it only to the response that is being written. Load pattern: a caller sends many requests before
+ * the first response; they must neither fill the upstreams nor outlive their caller.
+ */
+export class CallerConnection {
+  /** The request that was taken last. */
+  last: CallerExchange | undefined;
+
+  /** When the head of the last request was read. */
+  lastReadAt: Instant = Number.NEGATIVE_INFINITY;
+
+  /** When the caller left; undefined while it is connected. */
+  leftAt: Instant | undefined;
+
+  /** In the order of the requests. */
+  private readonly open: OpenExchange[] = [];
+
+  private readonly waiting: { readonly exchange: CallerExchange; readonly serve: () => void }[] =
+    [];
+
+  private servedCount = 0;
+
+  /** Whether no further requests are taken. */
+  isClosing = false;
+
+  /** `onLeave` is called when the caller has left, before the exchanges end. */
+  constructor(
+    private readonly socket: Socket,
+    onLeave: () => void,
+  ) {
+    const leave = (): void => {
+      socket.off('end', leave);
+      socket.off('close', leave);
+      onLeave();
+      this.isClosing = true;
+      endAll(this.open);
+    };
+    // Before the server's own listeners, which end the response that is being written.
+    socket.prependListener('end', leave);
+    socket.prependListener('close', leave);
+  }
+
+  /** Number of unanswered requests, waiting ones included. */
+  get openCount(): number {
+    return this.open.length;
+  }
+
+  /** Number of requests that are to be served and wait for earlier ones. */
+  get waitingCount(): number {
+    return this.waiting.length;
+  }
+
+  /**
+   * Takes a request that is about to be read. Returns false if the connection closes before its
+   * response, so that it counts as not read.
+   */
+  add(exchange: CallerExchange): boolean {
+    if (this.isClosing) return false;
+    this.last = exchange;
+    this.open.push({ exchange });
+    exchange.onEnd(() => this.remove(exchange));
+    if (this.open.length >= MAX_OPEN_COUNT) this.close();
+    return true;
+  }
+
+  /** Calls `serve` at once or when few enough requests are served. */
+  serve(exchange: CallerExchange, serve: () => void): void {
+    if (exchange.ended.aborted) return;
+    if (this.servedCount >= MAX_SERVED_COUNT) {
+      this.waiting.push({ exchange, serve });
+      return;
+    }
+    this.servedCount += 1;
+    exchange.onEnd(() => {
+      this.servedCount -= 1;
+      const next = this.waiting.shift();
+      if (next) this.serve(next.exchange, next.serve);
+    });
+    serve();
+  }
+
+  /** Calls `respond` once all earlier requests are answered; never if the exchange ends before. */
+  respond(exchange: CallerExchange, respond: () => void): void {
+    const [first] = this.open;
+    if (first?.exchange === exchange) {
+      respond();
+      return;
+    }
+    const found = this.open.find((open) => open.exchange === exchange);
+    if (found) found.respond = respond;
+  }
+
+  /** Whether no request was taken after that of this exchange. */
+  isLast(exchange: CallerExchange): boolean {
+    return this.last === exchange;
+  }
+
+  /** Takes no further requests: drops what is read from now on. */
+  close(): void {
+    if (this.isClosing) return;
+    this.isClosing = true;
+    // Not while the server's parser is at work on what has been read.
+    setImmediate(() => {
+      this.socket.removeAllListeners('data');
+      this.socket.on('data', () => {});
+      this.socket.resume();
+    });
+  }
+
+  /** Takes no further requests, and gives up those behind an exchange that ends the connection. */
+  closeAfter(exchange: CallerExchange): void {
+    this.close();
+    const at = this.open.findIndex((open) => open.exchange === exchange);
+    endAll(this.open.slice(at + 1));
+  }
+
+  private remove(exchange: CallerExchange): void {
+    const at = this.open.findIndex((open) => open.exchange === exchange);
+    if (at >= 0) this.open.splice(at, 1);
+    const waitsAt = this.waiting.findIndex((waiting) => waiting.exchange === exchange);
+    if (waitsAt >= 0) this.waiting.splice(waitsAt, 1);
+    const [first] = this.open;
+    const respond = first?.respond;
+    if (!first || !respond) return;
+    delete first.respond;
+    respond();
+  }
+}
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -3,13 +3,13 @@
 
 import type { CallerLimits, Instant, Millis } from '../model';
 
+import { CallerConnection, CallerExchange } from './caller-connection';
 import type { CallerRequest } from './forwarding';
 import type { GatewayContext } from './context';
-import { endToEndHeaders } from './headers';
+import { discardAnswer } from './gateway-reply';
 import type { MemoryGuard } from './memory-guard';
-import { Pipeline } from './pipeline';
-import { RELAY_HEADERS } from './relay-headers';
-import { writeError, writeReply, type CallerReply } from './replies';
+import { decodeRequest } from './request-decoding';
+import { writeError, writeRefusal, writeReply, type CallerReply } from './replies';
 
 /** Functions of the gateway that the caller server calls. */
 export interface CallerService {
@@ -33,10 +33,10 @@
   headerTimeout: 3000,
   idleTimeout: 15_000,
 };
-/** Time-out in milliseconds of a request whose caller states no remaining time. */
-const DEFAULT_REQUEST_TIMEOUT_MS: Millis = 60_000;
 /** Time-out for a whole request, as a multiple of the time-out for its head. */
 const BODY_TIMEOUT_RATIO = 10;
+/** Retry-After in milliseconds of a request whose body there is no memory for. */
+const MEMORY_RETRY_AFTER_MS: Millis = 1000;
 const BAD_GATEWAY = 502;
 const CONTENT_TOO_LARGE = 413;
 /** Status lines for errors of the HTTP server by error code; all others are 400. */
@@ -55,11 +55,7 @@
   /** When the head of the last request arrived; -Infinity before the first. */
   lastRequestAt: Instant = Number.NEGATIVE_INFINITY;
 
-  /** The unanswered requests of each connection. */
-  private readonly pipelines = new WeakMap<Socket, Pipeline>();
-
-  /** When the connections closed that had unanswered requests. */
-  private readonly departures = new WeakMap<Pipeline, Instant>();
+  private readonly connections = new WeakMap<Socket, CallerConnection>();
 
   constructor(
     private readonly context: GatewayContext,
@@ -86,160 +82,161 @@
   /** Reads and answers a request, which may come from another server than this one's. */
   onRequest(req: IncomingMessage, res: ServerResponse): void {
     this.lastRequestAt = this.context.clock.now();
-    const pipeline = this.pipelineOf(req.socket);
-    pipeline.lastReadAt = this.lastRequestAt;
-    const isRead = pipeline.add({ req, res }, () => this.read(req, res));
-    if (!isRead) return;
+    const connection = this.connectionOf(req.socket);
+    connection.lastReadAt = this.lastRequestAt;
+    const exchange = new CallerExchange(req, res);
+    if (!connection.add(exchange)) return;
     this.inFlight += 1;
-    res.once('close', () => {
+    exchange.onEnd(() => {
       this.inFlight -= 1;
     });
+    this.read(connection, exchange);
   }
 
-  private pipelineOf(socket: Socket): Pipeline {
-    const known = this.pipelines.get(socket);
+  private connectionOf(socket: Socket): CallerConnection {
+    const known = this.connections.get(socket);
     if (known) return known;
-    const pipeline = new Pipeline(socket);
-    this.pipelines.set(socket, pipeline);
-    socket.prependOnceListener('close', () => this.logDeparture(pipeline));
-    return pipeline;
+    const connection: CallerConnection = new CallerConnection(socket, () =>
+      this.onLeave(connection),
+    );
+    this.connections.set(socket, connection);
+    return connection;
   }
 
-  /** Logs that a caller's connection has closed while requests of it are unanswered. */
-  private logDeparture(pipeline: Pipeline): void {
+  /** Logs that a caller has left while requests of it are unanswered. */
+  private onLeave(connection: CallerConnection): void {
     const now = this.context.clock.now();
-    this.departures.set(pipeline, now);
-    if (pipeline.openCount === 0) return;
+    Object.assign(connection, { leftAt: now });
+    if (connection.openCount === 0) return;
     this.context.telemetry.count('caller_departures');
     this.context.telemetry.event('caller-left', {
-      open: pipeline.openCount,
-      waiting: pipeline.waitingCount,
-      readMs: Math.round(now - pipeline.lastReadAt),
-    });
-  }
-
-  /** Logs that a request has ended after its caller's connection closed. */
-  private logUndelivered(socket: Socket, request: CallerRequest, reply: CallerReply): void {
-    const leftAt = this.departures.get(this.pipelineOf(socket));
-    if (leftAt === undefined) return;
-    this.context.telemetry.event('undelivered', {
-      request: request.id,
-      outcome: reply.kind,
-      leftMs: Math.round(this.context.clock.now() - leftAt),
+      open: connection.openCount,
+      waiting: connection.waitingCount,
+      readMs: Math.round(now - connection.lastReadAt),
     });
   }
 
-  /** Reads a request's body, has it served and writes the reply. */
-  private read(req: IncomingMessage, res: ServerResponse): void {
+  /** Reads a request's body, has the request served and writes the reply. */
+  private read(connection: CallerConnection, exchange: CallerExchange): void {
     const arrivedAt = this.context.clock.now();
-    const callerLeft = new AbortController();
-    res.once('close', () => callerLeft.abort());
+    const { req } = exchange;
+    const { socket } = req;
     const chunks: Buffer[] = [];
     let size = 0;
     const limits = this.service.limits() ?? INITIAL_LIMITS;
     const { memory } = this.service;
-    const { socket } = req;
     const release = (): void => {
       memory.release(socket, size);
       size = 0;
     };
-    res.once('close', release);
+    exchange.onEnd(release);
+    const reject = (write: (res: ServerResponse) => void): void => {
+      req.removeAllListeners('data');
+      req.removeAllListeners('end');
+      req.resume();
+      connection.closeAfter(exchange);
+      connection.respond(exchange, () => {
+        exchange.res.setHeader('connection', 'close');
+        write(exchange.res);
+      });
+    };
     req.on('data', (chunk: Buffer) => {
       size += chunk.length;
       memory.add(socket, chunk.length);
-      if (size <= limits.maxBodyBytes) {
-        chunks.push(chunk);
-        memory.pauseIfHigh(req);
+      if (size > limits.maxBodyBytes) {
+        reject((res) => writeError(res, CONTENT_TOO_LARGE, 'body-too-large'));
         return;
       }
-      req.pause();
-      req.removeAllListeners('data');
-      res.setHeader('connection', 'close');
-      this.pipelineOf(socket).close();
-      writeError(res, CONTENT_TOO_LARGE, 'body-too-large');
+      // A disconnection isn't noticed while reading is paused, and others are served.
+      if (memory.isHigh && connection.openCount > 1 && !req.complete) {
+        reject((res) => writeRefusal(res, 'memory-short', MEMORY_RETRY_AFTER_MS));
+        return;
+      }
+      chunks.push(chunk);
+      memory.pauseIfHigh(req);
     });
     req.on('end', () => {
-      if (res.headersSent) return;
-      const request = this.decode(req, Buffer.concat(chunks), arrivedAt, callerLeft.signal);
-      void this.service
-        .serve(request)
-        .then((reply) => {
-          release();
-          this.logUndelivered(socket, request, reply);
-          this.countAnswer(socket, res, reply);
-          this.service.setHeaders?.(res, reply);
-          writeReply(res, reply, this.closesAfter(socket, res, reply));
-        })
-        .catch((err: unknown) => {
-          this.context.telemetry.event('request-broke', {
-            request: request.id,
-            error: err instanceof Error ? (err.stack ?? err.message) : String(err),
-          });
-          if (!res.headersSent) writeError(res, BAD_GATEWAY, 'internal');
-          else res.destroy();
-        });
+      const request = decodeRequest(req, this.context.headerConventions, {
+        body: Buffer.concat(chunks),
+        arrivedAt,
+        relayedMaxRuns: this.service.relayedMaxRuns?.(req),
+        signal: exchange.ended,
+      });
+      connection.serve(exchange, () => {
+        void this.serve(connection, exchange, request, release);
+      });
+    });
+  }
+
+  /** Has a request served and writes the reply; `release` frees the memory of its body. */
+  private async serve(
+    connection: CallerConnection,
+    exchange: CallerExchange,
+    request: CallerRequest,
+    release: () => void,
+  ): Promise<void> {
+    const { res } = exchange;
+    try {
+      const reply = await this.service.serve(request);
+      release();
+      this.logUndelivered(connection, request, reply);
+      exchange.onEnd(() => discardAnswer(reply));
+      if (exchange.ended.aborted) return;
+      this.countAnswer(exchange, reply);
+      this.service.setHeaders?.(res, reply);
+      connection.respond(exchange, () =>
+        writeReply(res, reply, this.closesAfter(connection, exchange, reply)),
+      );
+    } catch (err) {
+      this.context.telemetry.event('request-broke', {
+        request: request.id,
+        error: err instanceof Error ? (err.stack ?? err.message) : String(err),
+      });
+      connection.respond(exchange, () => {
+        if (!res.headersSent) writeError(res, BAD_GATEWAY, 'internal');
+        else res.destroy();
+      });
+    }
+  }
+
+  /** Logs that a request has ended after its caller left. */
+  private logUndelivered(
+    { leftAt }: CallerConnection,
+    request: CallerRequest,
+    reply: CallerReply,
+  ): void {
+    if (leftAt === undefined) return;
+    this.context.telemetry.event('undelivered', {
+      request: request.id,
+      outcome: reply.kind,
+      leftMs: Math.round(this.context.clock.now() - leftAt),
     });
   }
 
   /**
-   * Returns whether the connection closes after a response, and stops reading requests behind it if
-   * so. A stopping gateway first answers what it has read.
+   * Returns whether the connection closes after a response, and takes no more requests if so. A
+   * stopping gateway first answers what it has read.
    */
-  private closesAfter(socket: Socket, res: ServerResponse, reply: CallerReply): boolean {
-    const pipeline = this.pipelineOf(socket);
-    const closes = this.service.isStopping() && pipeline.isLast(res);
+  private closesAfter(
+    connection: CallerConnection,
+    exchange: CallerExchange,
+    reply: CallerReply,
+  ): boolean {
     const isUnframed = reply.kind === 'answer' && reply.head.endsWithConnection;
-    if (closes || isUnframed || reply.kind === 'nobody') pipeline.close();
+    if (isUnframed || reply.kind === 'nobody') connection.closeAfter(exchange);
+    const closes =
+      (this.service.isStopping() || connection.isClosing) && connection.isLast(exchange);
+    if (closes) connection.close();
     return closes;
   }
 
   /** Counts an answer that is complete in memory until the caller's socket has taken it. */
-  private countAnswer(socket: Socket, res: ServerResponse, reply: CallerReply): void {
-    if (reply.kind !== 'answer' || reply.body.kind !== 'whole' || res.destroyed) return;
+  private countAnswer({ req, res }: CallerExchange, reply: CallerReply): void {
+    if (reply.kind !== 'answer' || reply.body.kind !== 'whole') return;
     const { memory } = this.service;
-    let size = reply.body.bytes.length;
-    const release = (): void => {
-      memory.release(socket, size);
-      size = 0;
-    };
-    res.once('finish', release);
-    res.once('close', release);
-    memory.add(socket, size);
-  }
-
-  /** Builds the request to forward from what the HTTP server has read. */
-  private decode(
-    req: IncomingMessage,
-    body: Buffer,
-    arrivedAt: Instant,
-    signal: AbortSignal,
-  ): CallerRequest {
-    const { headerConventions } = this.context;
-    const header = (name: string): string => {
-      const value = req.headers[name];
-      return typeof value === 'string' ? value : '';
-    };
-    const remaining = header(headerConventions.remainingMs);
-    const timeout = /^\d{1,9}$/.test(remaining) ? Number(remaining) : DEFAULT_REQUEST_TIMEOUT_MS;
-    return {
-      id: header(headerConventions.requestId),
-      method: req.method ?? 'GET',
-      target: req.url ?? '/',
-      host: req.headers.host ?? '',
-      rawHeaders: endToEndHeaders(
-        req.rawHeaders,
-        new Set([
-          headerConventions.remainingMs,
-          headerConventions.targetUpstream,
-          RELAY_HEADERS.maxRuns,
-        ]),
-      ),
-      body,
-      arrivedAt,
-      deadline: arrivedAt + timeout,
-      relayedMaxRuns: this.service.relayedMaxRuns?.(req),
-      signal,
-    };
+    const { length } = reply.body.bytes;
+    res.once('finish', () => memory.release(req.socket, length));
+    memory.add(req.socket, length);
   }
 
   /**
@@ -253,7 +250,7 @@
       socket.destroy();
       return;
     }
-    const last = this.pipelines.get(socket)?.last;
+    const last = this.connections.get(socket)?.last;
     if (last?.req.complete && !last.res.writableFinished) {
       last.res.once('finish', () => this.onClientError(err, socket));
       return;
--- a/src/gateway/gateway-reply.ts
+++ b/src/gateway/gateway-reply.ts
@@ -25,3 +25,11 @@
 /** Whether a reply promises that the request has not run and never will. */
 export const hasNotRun = ({ kind }: GatewayReply): boolean =>
   kind === 'refused' || kind === 'over-quota';
+
+/** Destroys the body stream of an answer that nobody reads, which frees its connection. */
+export const discardAnswer = (reply: {
+  readonly kind: string;
+  readonly body?: AnswerBody;
+}): void => {
+  if (reply.body?.kind === 'stream') reply.body.stream.destroy();
+};
--- a/src/gateway/hedging.ts
+++ b/src/gateway/hedging.ts
@@ -4,7 +4,7 @@
 import type { Millis } from '../model';
 import type { Clock } from '../ports';
 
-import type { GatewayReply } from './gateway-reply';
+import { discardAnswer, type GatewayReply } from './gateway-reply';
 
 /** Outcome of an attempt, and the reply to pass on if the attempt was successful. */
 export interface AttemptResult {
@@ -23,11 +23,6 @@
 /** Time until another try to start a hedge, as a multiple of the mean latency of the route. */
 const HEDGE_RETRY_LATENCY_RATIO = 1;
 
-/** Destroys the body stream of an answer that nobody reads, which frees its connection. */
-const discardReply = ({ reply }: AttemptResult): void => {
-  if (reply?.kind === 'answer' && reply.body.kind === 'stream') reply.body.stream.destroy();
-};
-
 /** What hedging an attempt needs. */
 export interface HedgePorts {
   readonly clock: Clock;
@@ -91,6 +86,6 @@
   const other = winner.attempt === first ? second : first;
   if (!winner.end.reply) return other.ended;
   other.cancel();
-  void other.ended.then(discardReply);
+  void other.ended.then(({ reply }) => reply && discardAnswer(reply));
   return winner.end;
 };
--- a/src/gateway/memory-guard.ts
+++ b/src/gateway/memory-guard.ts
@@ -33,6 +33,11 @@
     return this.account.total;
   }
 
+  /** Whether memory is so short that no more should be read. */
+  get isHigh(): boolean {
+    return this.account.isHigh;
+  }
+
   /** Counts bytes that are buffered for a caller. */
   add(socket: Socket, bytes: number): void {
     if (socket.destroyed) return;
--- a/src/gateway/replies.ts
+++ b/src/gateway/replies.ts
@@ -66,7 +66,6 @@
       if (head.length !== undefined) headers.push('content-length', String(head.length));
       res.writeHead(head.status, headers);
       body.stream.on('error', () => res.destroy());
-      res.on('close', () => body.stream.destroy());
       body.stream.pipe(res);
   }
 };
--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -281,7 +281,7 @@
       socket.off('close', onClose);
       if (this.crashPath !== '' && request.head.includes(` ${this.crashPath} `)) this.crash();
       if (!socket.destroyed) this.writeResponse(socket, request);
-    }, this.work);
+    }, this.work).unref();
     socket.once('close', onClose);
   }
 }
--- /dev/null
+++ b/test/gateway/callers-leave.test.ts
@@ -0,0 +1,297 @@
+import { expect } from 'earl';
+import net, { type AddressInfo, type Socket } from 'node:net';
+import { PassThrough } from 'node:stream';
+import { afterEach, describe, it } from 'node:test';
+
+import { systemClock } from '../../src/adapters';
+import { headerConventions, parseSettings } from '../../platform';
+import { CallerServer } from '../../src/gateway/caller-server';
+import type { CallerRequest } from '../../src/gateway/forwarding';
+import { MemoryGuard } from '../../src/gateway/memory-guard';
+import type { CallerReply } from '../../src/gateway/replies';
+
+import { recordingTelemetry, settingsText } from './harness';
+
+/** Time in milliseconds after a caller left within which all work for it has ended. */
+const MAX_OUTLIVE_MS = 500;
+/** With a quarter for buffers the limit is 1 MB, and reading pauses at half of that. */
+const HOST_MEMORY_BYTES = 4e6;
+const HELD_BODY_BYTES = 290_000;
+const LIMITS = {
+  maxHeaderBytes: 16 * 1024,
+  maxBodyBytes: 300_000,
+  headerTimeout: 3000,
+  idleTimeout: 15_000,
+};
+/** More than Node's server holds back for one connection before it stops reading. */
+const LARGE_ANSWER_BYTES = 64 * 1024;
+/** More requests than a server serves and keeps waiting for one connection. */
+const MANY_REQUESTS = 120;
+
+const until = async (condition: () => boolean): Promise<void> => {
+  const deadline = Date.now() + 10_000;
+  while (!condition()) {
+    if (Date.now() > deadline) throw new Error(`not met in 10 s: ${condition.toString()}`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+  }
+};
+
+const turns = async (count: number): Promise<void> => {
+  for (let i = 0; i < count; i++)
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+};
+
+const requestText = (id: string, more: readonly string[] = []): string =>
+  [`GET /${id} HTTP/1.1`, 'Host: h', `X-Redwingmount-Request-Id: ${id}`, ...more, '\r\n'].join(
+    '\r\n',
+  );
+
+const textOf = (ids: readonly string[]): string => ids.map((id) => requestText(id)).join('');
+
+const idsOf = (count: number): readonly string[] =>
+  Array.from({ length: count }, (_, i) => `q${i}`);
+
+const answerOf = (
+  id: string,
+  body: Extract<CallerReply, { kind: 'answer' }>['body'],
+): CallerReply => ({
+  kind: 'answer',
+  head: {
+    status: 200,
+    rawHeaders: ['x-redwingmount-request-id', id],
+    keepsAlive: true,
+    length: body.kind === 'whole' ? body.bytes.length : undefined,
+    endsWithConnection: false,
+  },
+  body,
+  upstream: undefined,
+});
+
+/** How a caller leaves. */
+const DEPARTURES: Readonly<Record<string, (socket: Socket) => void>> = {
+  'closes its connection': (socket) => socket.destroy(),
+  'resets its connection': (socket) => socket.resetAndDestroy(),
+};
+
+/** A caller server whose requests go on until their caller leaves, unless they have a reply. */
+class Scene {
+  readonly telemetry = recordingTelemetry();
+
+  readonly memory: MemoryGuard;
+
+  readonly caller: CallerServer;
+
+  /** Ids of the requests that are served, in order. */
+  readonly served: string[] = [];
+
+  /** Ids of the requests whose signal was aborted. */
+  readonly cancelled = new Set<string>();
+
+  /** Replies by request id; the others get none. */
+  readonly replies = new Map<string, CallerReply>();
+
+  private readonly sockets: Socket[] = [];
+
+  constructor() {
+    const parsed = parseSettings('test', settingsText(8000, 9000)).unsafeCoerce();
+    const settings = { ...parsed, limits: { ...parsed.limits, memoryBytes: HOST_MEMORY_BYTES } };
+    const { telemetry } = this;
+    this.memory = new MemoryGuard({ settings, telemetry });
+    this.caller = new CallerServer(
+      { settings, clock: systemClock, telemetry, headerConventions, random: () => 0 },
+      {
+        limits: () => LIMITS,
+        isStopping: () => false,
+        memory: this.memory,
+        serve: (request) => this.serve(request),
+      },
+    );
+  }
+
+  get port(): number {
+    return (this.caller.server.address() as AddressInfo).port;
+  }
+
+  async listen(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.caller.server.listen(0, '127.0.0.1', resolve);
+    });
+  }
+
+  /** Connects a caller that writes `text` and reads nothing unless `reads`. */
+  connect(text: string): Socket & { received: string } {
+    const socket = Object.assign(
+      net.connect(this.port, '127.0.0.1', () => socket.write(text)),
+      { received: '' },
+    );
+    socket.on('data', (chunk: Buffer) => {
+      socket.received += chunk.toString('latin1');
+    });
+    socket.on('error', () => {});
+    this.sockets.push(socket);
+    return socket;
+  }
+
+  /** Longest time in milliseconds for which a request outlived its caller, by the log. */
+  get longestOutliving(): number {
+    const times = this.telemetry.events
+      .filter(({ name }) => name === 'undelivered')
+      .map(({ fields }) => Number(fields.leftMs));
+    return Math.max(0, ...times);
+  }
+
+  close(): void {
+    this.sockets.forEach((socket) => socket.destroy());
+    this.caller.server.close();
+    this.caller.server.closeAllConnections();
+  }
+
+  private serve({ id, signal }: CallerRequest): Promise<CallerReply> {
+    this.served.push(id);
+    const reply = this.replies.get(id);
+    return new Promise((resolve) => {
+      if (reply) resolve(reply);
+      signal.addEventListener('abort', () => {
+        this.cancelled.add(id);
+        resolve({ kind: 'nobody' });
+      });
+    });
+  }
+}
+
+describe('when a caller leaves', () => {
+  let scene: Scene;
+  const start = async (): Promise<Scene> => {
+    scene = new Scene();
+    await scene.listen();
+    return scene;
+  };
+  afterEach(() => scene.close());
+
+  Object.entries(DEPARTURES).forEach(([how, leave]) => {
+    /** Guards against requests whose response emits no close, as others are before it. */
+    it(`all its pipelined requests are cancelled: ${how}`, async () => {
+      const { caller, cancelled, served } = await start();
+      const ids = idsOf(6);
+      const socket = scene.connect(textOf(ids));
+      await until(() => served.length === ids.length);
+      leave(socket);
+      await until(() => cancelled.size === ids.length);
+      await until(
+        () =>
+          scene.telemetry.events.filter(({ name }) => name === 'undelivered').length === ids.length,
+      );
+      expect(scene.longestOutliving).toBeLessThanOrEqual(MAX_OUTLIVE_MS);
+      expect(caller.inFlight).toEqual(0);
+    });
+
+    /** Guards against a disconnection that is not noticed while nothing is read. */
+    it(`with more requests than are read ahead, none is served later: ${how}`, async () => {
+      const { caller, cancelled, served } = await start();
+      const socket = scene.connect(textOf(idsOf(MANY_REQUESTS)));
+      await until(() => served.length === 8);
+      leave(socket);
+      await until(() => cancelled.size === 8);
+      await turns(4);
+      expect(served.length).toEqual(8);
+      expect(caller.inFlight).toEqual(0);
+    });
+
+    /** Guards against a disconnection that is not noticed behind answers that are held back. */
+    it(`requests around answers that wait for their turn are cancelled: ${how}`, async () => {
+      const { cancelled, replies, served } = await start();
+      const bytes = Buffer.alloc(LARGE_ANSWER_BYTES, 'x');
+      replies.set('ready', answerOf('ready', { kind: 'whole', bytes }));
+      const socket = scene.connect(textOf(['first', 'ready']));
+      await until(() => served.length === 2);
+      await turns(4);
+      socket.write(textOf(['third', 'fourth']));
+      await until(() => served.includes('third'));
+      leave(socket);
+      await until(() => ['first', 'third'].every((id) => cancelled.has(id)));
+      await until(() => scene.memory.total === 0);
+    });
+
+    /** Guards against a disconnection that is not noticed while a body is not read on. */
+    it(`requests before a body that memory is short for are cancelled: ${how}`, async () => {
+      const { cancelled, served, memory } = await start();
+      for (let i = 0; i < 3; i++) {
+        scene.connect(
+          `${requestText('holder', [`Content-Length: ${HELD_BODY_BYTES}`])}${'b'.repeat(HELD_BODY_BYTES - 1)}`,
+        );
+      }
+      await until(() => memory.total > HOST_MEMORY_BYTES / 8);
+      const socket = scene.connect(
+        `${textOf(['first'])}${requestText('body', [`Content-Length: ${HELD_BODY_BYTES}`])}${'b'.repeat(HELD_BODY_BYTES - 1)}`,
+      );
+      await until(() => served.includes('first'));
+      await turns(20);
+      leave(socket);
+      await until(() => cancelled.has('first'));
+      expect(scene.telemetry.events.map(({ name }) => name)).not.toInclude('caller-disconnected');
+    });
+
+    /** Guards against a disconnection that is not noticed behind a body that is refused. */
+    it(`requests before a body that is too large are cancelled: ${how}`, async () => {
+      const { cancelled, served } = await start();
+      const socket = scene.connect(
+        `${textOf(['first'])}${requestText('body', ['Content-Length: 800000'])}${'b'.repeat(700_000)}`,
+      );
+      await until(() => served.includes('first'));
+      await turns(20);
+      leave(socket);
+      await until(() => cancelled.has('first'));
+    });
+  });
+
+  /** Guards against an upstream that goes on sending an answer whose turn never comes. */
+  it('an answer that is streamed behind another one is discarded', async () => {
+    const { replies, served } = await start();
+    const stream = new PassThrough();
+    replies.set('second', answerOf('second', { kind: 'stream', stream }));
+    stream.write('begin');
+    const socket = scene.connect(textOf(['first', 'second']));
+    await until(() => served.length === 2);
+    await turns(4);
+    socket.destroy();
+    await until(() => stream.destroyed);
+  });
+
+  /** Guards against an answer that nobody reads because it is ready after its caller has left. */
+  it('an answer that is streamed too late is discarded', async () => {
+    const { caller, served } = await start();
+    const stream = new PassThrough();
+    let reply: (value: CallerReply) => void = () => {};
+    Object.assign(scene, {
+      serve: ({ id }: CallerRequest) => {
+        served.push(id);
+        return new Promise<CallerReply>((resolve) => {
+          reply = resolve;
+        });
+      },
+    });
+    const socket = scene.connect(textOf(['only']));
+    await until(() => served.length === 1);
+    socket.destroy();
+    await until(() => caller.inFlight === 0);
+    reply(answerOf('only', { kind: 'stream', stream }));
+    await until(() => stream.destroyed);
+  });
+
+  /** Guards against bytes that stay counted, so that reading pauses for good. */
+  it('the memory of its requests is released, pipelined ones included', async () => {
+    const { memory, served } = await start();
+    const bodies = idsOf(4).map(
+      (id) => `${requestText(id, ['Content-Length: 1000'])}${'b'.repeat(1000)}`,
+    );
+    const socket = scene.connect(bodies.join(''));
+    await until(() => served.length === 4);
+    expect(memory.total).toEqual(4000);
+    socket.destroy();
+    await until(() => memory.total === 0);
+  });
+});
--- a/test/gateway/pipelining.test.ts
+++ b/test/gateway/pipelining.test.ts
@@ -6,6 +6,8 @@
 
 const SAFE_PATH = '/safe/';
 const UPLOAD_PATH = '/upload/';
+/** Time in milliseconds after a caller left within which its requests have ended. */
+const MAX_OUTLIVE_MS = 500;
 
 interface PipelinedCaller {
   readonly socket: net.Socket;
@@ -93,19 +95,6 @@
     caller.socket.destroy();
   });
 
-  /** Guards against upstreams that go on working for a caller that has left. */
-  it('are all cancelled when the caller disconnects', async () => {
-    setWork(1500);
-    const caller = connect(
-      idsOf(4)
-        .map((id) => requestText(id))
-        .join(''),
-    );
-    await harness.until(() => runCount() === 4);
-    caller.socket.destroy();
-    await harness.until(() => harness.upstreams.flatMap(({ cancelled }) => cancelled).length === 4);
-  });
-
   /** Guards against a request that runs although its caller can't get the answer. */
   it('behind one that asks for the connection to close reach no upstream', async () => {
     const caller = connect(
@@ -157,3 +146,43 @@
     await stopped;
   });
 });
+
+/** Guards against upstreams that go on working for a caller that has left. */
+describe('pipelined requests without hedges that outlast the test', () => {
+  let harness: GatewayHarness;
+  beforeEach(async () => {
+    harness = await GatewayHarness.start(2, [routeOf(SAFE_PATH, 'safe', { timeoutMs: 60_000 })], {
+      disabled: new Set(['hedges']),
+    });
+    harness.upstreams.forEach((upstream) => Object.assign(upstream, { work: 60_000 }));
+  });
+  afterEach(() => harness.close());
+
+  const leaving: Readonly<Record<string, (socket: net.Socket) => void>> = {
+    'closes its connection': (socket) => socket.destroy(),
+    'resets its connection': (socket) => socket.resetAndDestroy(),
+  };
+
+  Object.entries(leaving).forEach(([how, leave]) =>
+    it(`are each cancelled when the caller ${how}, and none is in flight`, async () => {
+      const ids = Array.from({ length: 6 }, (_, i) => `q${i}`);
+      const text = ids.map((id) => requestText(id).replace('5000', '60000')).join('');
+      const socket = net.connect(harness.ports.callers, '127.0.0.1', () => socket.write(text));
+      socket.on('error', () => {});
+      await harness.until(() => ids.every((id) => harness.runsOf(id) === 1));
+      leave(socket);
+      const cancelled = (): readonly string[] =>
+        harness.upstreams.flatMap((upstream) => upstream.cancelled).toSorted();
+      await harness.until(() => cancelled().length === ids.length);
+      expect(cancelled()).toEqual(ids);
+      await harness.gateway.stop();
+      const { events } = harness.telemetry;
+      expect(events.find(({ name }) => name === 'stopping')?.fields.inFlight).toEqual(0);
+      const outlived = events
+        .filter(({ name }) => name === 'undelivered')
+        .map(({ fields }) => Number(fields.leftMs));
+      expect(outlived.length).toEqual(ids.length);
+      expect(Math.max(...outlived)).toBeLessThanOrEqual(MAX_OUTLIVE_MS);
+    }),
+  );
+});
