Serve a request only once disconnections that arrived with it are read

What callers and upstreams saw: on hosts short of processor time, requests reached upstreams after their callers had left.

Cause: a busy host reads a request when both it and the caller's disconnection have long arrived. libuv reads the bytes in one turn of the event loop and the end of the connection in the next, and the request was sent in the first. The class: the end of a caller's interest acted on later than it is known to the host.

Evidence: in callers-leave.test.ts a caller in another process connects, sends and leaves while this one is blocked; the request was served before, and is not now.

Change: a request is served after the event loop has polled its sockets again, which costs one turn without waiting, and not at all if its caller has left by then; it is logged as undelivered.

--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -45,6 +45,14 @@
   ['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout'],
 ]);
 
+/**
+ * Calls `callback` once the event loop has polled its sockets again. Load pattern: a busy host reads
+ * a request when its caller has already left; the disconnection is read after the request.
+ */
+const afterPendingReads = (callback: () => void): void => {
+  setImmediate(() => setImmediate(callback));
+};
+
 /** HTTP server for callers: reads requests completely and writes the replies. */
 export class CallerServer {
   readonly server: http.Server;
@@ -162,8 +170,11 @@
         relayedMaxRuns: this.service.relayedMaxRuns?.(req),
         signal: exchange.ended,
       });
-      connection.serve(exchange, () => {
-        void this.serve(connection, exchange, request, release);
+      afterPendingReads(() => {
+        if (exchange.ended.aborted) this.logUndelivered(connection, request, { kind: 'nobody' });
+        connection.serve(exchange, () => {
+          void this.serve(connection, exchange, request, release);
+        });
       });
     });
   }
--- a/test/gateway/callers-leave.test.ts
+++ b/test/gateway/callers-leave.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'earl';
+import { spawnSync } from 'node:child_process';
 import net, { type AddressInfo, type Socket } from 'node:net';
 import { PassThrough } from 'node:stream';
 import { afterEach, describe, it } from 'node:test';
@@ -294,4 +295,17 @@
     socket.destroy();
     await until(() => memory.total === 0);
   });
+
+  /**
+   * Guards against a request that is sent although its caller has already left, as a busy host
+   * reads both late. The caller is another process, which comes and goes while this one is blocked.
+   */
+  it('before its request is read, the request is not served', async () => {
+    const { port, served, telemetry } = await start();
+    const script = `const s = require('net').connect(${port}, '127.0.0.1', () => s.write(${JSON.stringify(textOf(['late']))}, () => s.destroy()));`;
+    expect(spawnSync(process.execPath, ['-e', script]).status).toEqual(0);
+    await until(() => telemetry.events.some(({ name }) => name === 'caller-left'));
+    await until(() => telemetry.events.some(({ name }) => name === 'undelivered'));
+    expect(served).toEqual([]);
+  });
 });
