Discard the bodies of large answers that are not passed on

What callers and upstreams saw: an upstream went on sending an answer that no caller would get, until the route's time-out, and held its slot.

Cause: an answer of more than 2 MiB is a stream once its head is known. If it was not genuine, had a status that would be a false promise, or came second among failures, nobody read or closed the stream.

Evidence: test/gateway/unused-answers.test.ts, three cases, each red before: the connection to the upstream was still open after 10 s of a route of 60 s.

Change: a request discards each answer that it neither returns nor keeps, and the one that it has kept if it returns another.

Measured: the three cases pass; 39 tests of the files gateway/an*, 0 failed.

--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -5,7 +5,7 @@
 import { disabledIn } from './context';
 import { costFeaturesOf, runAttempt, type RequestContext } from './attempt';
 import { NOT_RUN_STATUSES, UNFRAMED, type CallerRequest } from './forwarding';
-import { hasNotRun, type GatewayReply } from './gateway-reply';
+import { discardAnswer, hasNotRun, type GatewayReply } from './gateway-reply';
 import { endWithHedge, type AttemptResult, type RunningAttempt } from './hedging';
 import { PATH_CUT_RETRY_AFTER_MS, type RelayedRequest } from './peer-relay';
 import type { ServiceScheduler } from './service-scheduler';
@@ -28,6 +28,8 @@
 /** Largest Retry-After in milliseconds of a request that crashes upstreams. */
 const MAX_HELD_RETRY_AFTER_MS: Millis = 300_000;
 
+type UpstreamAnswer = Extract<GatewayReply, { kind: 'answer' }>;
+
 /** Carries one caller's request through attempts at upstreams to a reply. */
 export class ProxiedRequest {
   private readonly idempotent: boolean;
@@ -54,7 +56,7 @@
   lastUpstream = '';
 
   /** The answer passed on if no better one arrives: one of unknown completeness, or an error. */
-  private fallback: Extract<GatewayReply, { kind: 'answer' }> | undefined;
+  private fallback: UpstreamAnswer | undefined;
 
   constructor(
     private readonly context: RequestContext,
@@ -73,11 +75,13 @@
   }
 
   /** Makes attempts until there is a reply; may be called once. */
-  run(): Promise<GatewayReply> {
+  async run(): Promise<GatewayReply> {
     // A request that is relayed counts at the gateway that sends it to an upstream.
     if (!this.context.path.isCut)
       this.scheduler.retryBudget.recordRequest(this.context.clock.now());
-    return this.attemptUntilReply();
+    const reply = await this.attemptUntilReply();
+    if (this.fallback && this.fallback !== reply) discardAnswer(this.fallback);
+    return reply;
   }
 
   private async attemptUntilReply(): Promise<GatewayReply> {
@@ -329,10 +333,18 @@
     const { head, body } = result;
     const reply = { kind: 'answer', head, body, upstream: stats.upstream } as const;
     if (outcome.kind === 'served') return { outcome, reply };
-    if (outcome.kind === 'failed' && !NOT_RUN_STATUSES.has(result.head.status)) {
-      this.fallback ??= reply;
-    }
-    if (outcome.kind === 'unknown' && outcome.why === UNFRAMED) this.fallback = reply;
+    const unused = this.keepFallback(outcome, reply);
+    if (unused) discardAnswer(unused);
     return { outcome };
   }
+
+  /** Keeps an answer if it may serve as the fallback; returns the one that is not needed. */
+  private keepFallback(outcome: AttemptOutcome, reply: UpstreamAnswer): UpstreamAnswer | undefined {
+    const { fallback } = this;
+    const isUnframed = outcome.kind === 'unknown' && outcome.why === UNFRAMED;
+    const isFailure = outcome.kind === 'failed' && !NOT_RUN_STATUSES.has(reply.head.status);
+    if (!isUnframed && !(isFailure && !fallback)) return reply;
+    this.fallback = reply;
+    return fallback;
+  }
 }
