Place no request whose caller has left

What happened: a request whose caller left while it waited for a token, a proof of its key or a check of its upstream was queued or took a slot, and a connection was opened for it and closed again; nothing of it was sent.

Cause: the scheduler listened for the departure and didn't ask whether it had already happened; a signal that is aborted fires no event again.

Evidence: the new case of service-scheduler.test.ts, red before (placed).

Change: a request whose signal is aborted is cancelled at once.

Measured: 2 tests of the file passed, 0 failed.

--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/service-scheduler.ts
@@ -106,6 +106,7 @@
 
   /** Chooses an upstream, now or when one has room, and takes a slot there for the request. */
   async place(request: QueueablePlacement, requestId: string): Promise<PlacementResult> {
+    if (request.signal.aborted) return { kind: 'cancelled' };
     const placed = await this.placeOrQueue(request, requestId);
     if (placed.kind === 'refused') this.refused.record(request.priority, this.context.clock.now());
     return placed;
