Give back the quota token of a request whose caller left before it was sent

What callers saw: a workspace whose callers left while their requests waited for a slot was refused with 429 below its quota.

Cause: a token was given back only with a reply that says not run; there is no reply to a caller that has left.

Evidence: the new case of quota.test.ts: the one token that had accrued goes to a request that waits and whose caller leaves; the next request got 429.

Change: the token is given back if no attempt was made either.

Measured: the case is red before and passes now.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -306,7 +306,8 @@
     const scheduler = this.schedulers.of(this.roundRobin.next(route));
     const proxiedRequest = new ProxiedRequest(this.requestContext, request, route, scheduler);
     const reply = await proxiedRequest.run();
-    if (hasNotRun(reply)) request.quotaToken?.giveBack();
+    const wasNotSent = reply.kind === 'nobody' && proxiedRequest.attemptCount === 0;
+    if (hasNotRun(reply) || wasNotSent) request.quotaToken?.giveBack();
     this.requestContext.log.logEnded({
       request,
       route,
--- a/test/gateway/quota.test.ts
+++ b/test/gateway/quota.test.ts
@@ -60,6 +60,45 @@
     expect(statuses).toEqual([503, 503, 503]);
   });
 
+  /** Guards against callers that leave and take their workspace's quota with them. */
+  it('does not count a request whose caller left before it was sent', async () => {
+    // More than an upstream of six slots is sent at once.
+    const otherCount = 20;
+    harness = await GatewayHarness.start(1, PATHS);
+    const current = harness;
+    const [upstream] = harness.upstreams;
+    if (!upstream) throw new Error('no upstream');
+    upstream.work = 60_000;
+    const paths = [...PATHS, routeOf('/public/', 'unsafe', { public: true, timeoutMs: 60_000 })];
+    const config = { ...withQuota(2, 0.8, 0), ...configOf(2, paths) };
+    harness.store.put('keyed.op', 'config', config);
+    await harness.until(() => current.count('quota-allocator-started') === 3);
+    await pause(1500);
+    // One token has accrued; the request that takes it waits for a slot.
+    const others = new AbortController();
+    const { signal } = others;
+    const sendAll = Array.from({ length: otherCount }, (_, i) =>
+      current.request(`p-${i}`, '/public/x', { deadlineMs: 60_000, signal }).catch(() => {}),
+    );
+    await harness.until(() => current.count('request') + upstream.runs.length > 9);
+    await pause(50);
+    const leaving = new AbortController();
+    const headers = { 'x-api-key': KEY };
+    const sent = current
+      .request('left', '/a/x', { headers, signal: leaving.signal })
+      .catch(() => undefined);
+    await pause(100);
+    leaving.abort();
+    await sent;
+    await harness.until(() => current.count('undelivered') === 1);
+    upstream.work = 5;
+    others.abort();
+    await Promise.all(sendAll);
+    await harness.until(() => upstream.cancelled.length === upstream.runs.length);
+    expect((await send(harness, 'next')).status).toEqual(200);
+    expect(harness.runsOf('left')).toEqual(0);
+  });
+
   it('starts nothing for quotas while no workspace has one', async () => {
     harness = await GatewayHarness.start(1, PATHS);
     harness.store.put('keyed.op', 'config', withQuota(2, 0, 0));
