Take no answer without a request id for that of a request on a reused connection

What callers and upstreams saw, by a report of other operators: an upstream wrote an earlier refusal once more on a kept connection. Callers were told not run, try again, for requests that the upstream ran, or these ran again elsewhere.

Cause: the marker of a refusal and status 421 were looked at before the question whose answer it is. A refusal with the earlier request's id was dropped; one without an id was taken for the running request's.

Evidence: with an upstream that refuses the first request of a connection, runs the others and writes that refusal once more without an id, 12 of 12 requests that may not be repeated got 503 and ran. With the id, each got its 200 before too. Our stand-in's refusals didn't; now they do.

Change: an answer without an id belongs to a request only on a new connection; otherwise the request has an unknown outcome, so that it isn't repeated unless it may be, and is answered 502. The same for a failure, which could have been passed on to another caller.

--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -52,7 +52,8 @@
 const statusClassOf = (status: number): number => Math.floor(status / 100);
 
 /**
- * Classifies the result of an exchange. An answer counts as served only if it is genuine: it has
+ * Classifies the result of an exchange. An answer without a request id, be it a refusal or a
+ * failure, belongs to the request only on a new connection. An answer counts as served only if it is genuine: it has
  * the id of this request, no content encoding and, with a 2xx status, a signature. For an
  * idempotent request its end must be marked too, as such a request can be retried instead.
  */
@@ -70,6 +71,9 @@
       : { kind: 'not-run', why: 'unreachable' };
   }
   const { status, rawHeaders } = result.head;
+  const answeredId = headerOf(rawHeaders, headerConventions.requestId);
+  // On a reused connection it may be the answer to an earlier request, sent again.
+  if (answeredId === undefined && !result.isFirst) return { kind: 'unknown', why: 'not-genuine' };
   if (headerOf(rawHeaders, headerConventions.notRun) !== undefined) {
     return { kind: 'not-run', why: status === MISDIRECTED ? 'misdirected' : 'shed' };
   }
@@ -78,7 +82,7 @@
     return { kind: 'failed', status };
   }
   const isGenuine =
-    headerOf(rawHeaders, headerConventions.requestId) === id &&
+    answeredId === id &&
     headerOf(rawHeaders, 'content-encoding') === undefined &&
     (statusClassOf(status) !== OK_CLASS ||
       headerOf(rawHeaders, headerConventions.signature) !== undefined);
--- a/src/gateway/upstream-connection.ts
+++ b/src/gateway/upstream-connection.ts
@@ -25,7 +25,13 @@
 
 /** Result of an exchange. */
 export type ExchangeResult =
-  | { readonly kind: 'answered'; readonly head: AnswerHead; readonly body: AnswerBody }
+  | {
+      readonly kind: 'answered';
+      readonly head: AnswerHead;
+      readonly body: AnswerBody;
+      /** Whether the connection was new, so that no earlier request can have been answered on it. */
+      readonly isFirst: boolean;
+    }
   | {
       readonly kind: 'failed';
       readonly why: ExchangeFault;
@@ -101,6 +107,9 @@
   /** Until when the idle connection may be reused. */
   usableUntil: Instant = 0;
 
+  /** Whether the current request is the first one on the connection. */
+  private isFirst = true;
+
   private readonly socket: net.Socket;
 
   private readonly parser: AnswerParser;
@@ -152,6 +161,7 @@
    */
   run(exchange: Exchange, connectBy: Instant): Promise<ExchangeResult> {
     this.received = { all: 0, body: 0, skipped: 0 };
+    this.isFirst = !this.connected;
     this.idleFor = this.connected ? this.clock.now() - this.idleSince : 0;
     return new Promise((resolve) => {
       const giveUp = (why: 'timeout' | 'cancelled' | 'connect-timeout'): void => {
@@ -280,7 +290,8 @@
     if (running.stream) running.stream.end();
     else {
       const bytes = Buffer.concat(running.chunks, running.size);
-      running.resolve({ kind: 'answered', head, body: { kind: 'whole', bytes } });
+      const { isFirst } = this;
+      running.resolve({ kind: 'answered', head, body: { kind: 'whole', bytes }, isFirst });
     }
     if (hasMore || !head.keepsAlive || this.unusable) {
       this.close();
@@ -306,7 +317,8 @@
     });
     // The reader handles the error; without any listener it would end the process.
     stream.on('error', () => {});
-    running.resolve({ kind: 'answered', head, body: { kind: 'stream', stream } });
+    const { isFirst } = this;
+    running.resolve({ kind: 'answered', head, body: { kind: 'stream', stream }, isFirst });
   }
 
   /** Ends the exchange in progress, if any, with a failure. */
--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -13,6 +13,12 @@
   | 'fails'
   /** Answers 503 without running the request. */
   | 'sheds'
+  /**
+   * Refuses the first request of a connection. Runs the later ones, but first writes the refusal
+   * once more: without a request id, or with that of the first request.
+   */
+  | 'sheds-again'
+  | 'sheds-again-with-id'
   /** Runs the request and never answers. */
   | 'hangs'
   /** Resets the connection in place of an answer. */
@@ -102,6 +108,16 @@
     body,
   ].join('\r\n');
 
+/** Returns the response to a request that is not run; without the header if `id` is empty. */
+const refusalOf = (id: string, extraLines: string): string =>
+  [
+    'HTTP/1.1 503 Service Unavailable',
+    'X-Redwingmount-Not-Executed: 1',
+    ...(id === '' ? [] : [`X-Redwingmount-Request-Id: ${id}`]),
+    `${extraLines}Content-Length: 0`,
+    HEAD_END.slice(2),
+  ].join('\r\n');
+
 /** The TCP server of one upstream. */
 class PlatformUpstreamServer implements PlatformUpstream {
   port = 0;
@@ -130,6 +146,9 @@
 
   private readonly sockets = new Set<Socket>();
 
+  /** Ids of the first requests of connections. */
+  private readonly firstIds = new WeakMap<Socket, string>();
+
   private connections = 0;
 
   constructor(readonly id: string) {}
@@ -206,6 +225,8 @@
     switch (this.mood) {
       case 'well':
       case 'sheds':
+      case 'sheds-again':
+      case 'sheds-again-with-id':
       case 'drops-idle':
       case 'early':
         socket.write(response);
@@ -263,16 +284,19 @@
     const target = headerOf(request.head, 'X-Redwingmount-Target-Instance');
     if (target !== '' && target !== this.id) {
       socket.write(
-        `HTTP/1.1 421 Misdirected Request\r\nX-Redwingmount-Instance-Id: ${this.id}\r\n${this.announcedLines()}Content-Length: 0\r\n\r\n`,
+        `HTTP/1.1 421 Misdirected Request\r\nX-Redwingmount-Request-Id: ${request.id}\r\nX-Redwingmount-Instance-Id: ${this.id}\r\n${this.announcedLines()}Content-Length: 0\r\n\r\n`,
       );
       return;
     }
-    if (this.mood === 'sheds') {
-      socket.write(
-        `HTTP/1.1 503 Service Unavailable\r\nX-Redwingmount-Not-Executed: 1\r\n${this.announcedLines()}Content-Length: 0\r\n\r\n`,
-      );
+    const refusedId = this.firstIds.get(socket);
+    if (refusedId === undefined) this.firstIds.set(socket, request.id);
+    const isRefusedAgain = this.mood.startsWith('sheds-again');
+    if (this.mood === 'sheds' || (isRefusedAgain && refusedId === undefined)) {
+      socket.write(refusalOf(request.id, this.announcedLines()));
       return;
     }
+    if (isRefusedAgain)
+      socket.write(refusalOf(this.mood === 'sheds-again' ? '' : (refusedId ?? ''), ''));
     this.runs.push(request);
     const onClose = (): void => {
       this.cancelled.push(request.id);
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -52,6 +52,27 @@
     });
   });
 
+  (['sheds-again', 'sheds-again-with-id'] as const).forEach((mood) => {
+    /** Guards against a refusal of an earlier request that is taken for one of the running request. */
+    it(`that refuse an earlier request once more refuse no request that runs: ${mood}`, async () => {
+      harness.upstreams.forEach((upstream) => Object.assign(upstream, { mood, work: 100 }));
+      const ids = Array.from({ length: 12 }, (_, i) => `${mood}-${i}`);
+      const statuses: number[] = [];
+      for (const id of ids) {
+        const answer = await harness.request(id, `${UNSAFE_PATH}x`, { method: 'POST', body: 'b' });
+        statuses.push(answer.status);
+      }
+      const seen = ids.map((id, i) => ({ id, status: statuses[i], runs: harness.runsOf(id) }));
+      expect(seen.filter(({ runs }) => runs > 1)).toEqual([]);
+      expect(seen.filter(({ status, runs }) => status === 503 && runs > 0)).toEqual([]);
+      expect(seen.some(({ runs }) => runs === 1)).toEqual(true);
+      const wanted = mood === 'sheds-again-with-id' ? 200 : 502;
+      expect(new Set(seen.filter(({ runs }) => runs === 1).map(({ status }) => status))).toEqual(
+        new Set([wanted]),
+      );
+    });
+  });
+
   it('are lost at most once where an upstream drops idle connections', async () => {
     harness.upstreams.forEach((upstream) => Object.assign(upstream, { mood: 'drops-idle' }));
     const statuses: number[] = [];
