Refuse requests that come late in a planned stop

What callers saw, by a report of other operators: in a planned stop in calm, requests that came late in the grace period were passed on and cut off with no answer at its end, also such as may not be repeated.

Cause: a stopping gateway took requests until it was gone. Nothing related the time at which a request comes to the time at which the process ends.

Evidence: late-requests.test.ts sends requests of 800 ms every 40 ms until a stopping gateway with a grace of 3 s is gone; the last 19 had run and were cut, half of them not repeatable. The test of planned stops that passed meanwhile sends one request at the start of the grace.

Change: requests are taken for three seconds, for which callers may use an address that they got before, or half of the grace period if that is less; later ones are refused with 503, to be sent elsewhere at once. The times are a pure function, core/gateway/stop-schedule. A peer that relays to a stopping gateway goes on to the next one.

Measured: the test is red before and passes now, path.test.ts too; 13 tests, 0 failed.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -8,3 +8,4 @@
 export * from './feed-history';
 export * from './host-groups';
 export * from './idle-connection-limit';
+export * from './stop-schedule';
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,7 +2,14 @@
 
 import { listen } from '../adapters/listen';
 import { TermsRegistry } from '../core/announcements';
-import { HostGroups, HostRoutes, WeightedRoundRobin, type UpstreamChange } from '../core/gateway';
+import {
+  HostGroups,
+  HostRoutes,
+  stopScheduleOf,
+  WeightedRoundRobin,
+  type StopSchedule,
+  type UpstreamChange,
+} from '../core/gateway';
 import {
   MILLIS_PER_SECOND,
   type GatewaySettings,
@@ -53,8 +60,8 @@
 const DIRECTORY_TTL_OVERUSE_RATIO = 3;
 /** Retry-After in milliseconds while no configuration is known. */
 const NO_CONFIG_RETRY_AFTER_MS: Millis = 500;
-/** Time in milliseconds before the forced kill at which the remaining requests are broken off. */
-const STOP_MARGIN_MS: Millis = 300;
+/** Retry-After in milliseconds of a request that a stopping gateway refuses; others take it. */
+const STOPPING_RETRY_AFTER_MS: Millis = 10;
 /** Interval in milliseconds at which a stopping gateway checks whether it is idle. */
 const STOP_POLL_MS: Millis = 50;
 
@@ -101,7 +108,8 @@
 
   private hostGroups: HostGroups | undefined;
 
-  private stopping = false;
+  /** Undefined until a stop is asked for. */
+  private stopSchedule: StopSchedule | undefined;
 
   constructor(
     private readonly context: GatewayContext,
@@ -155,7 +163,7 @@
     });
     const callerService: CallerService = {
       limits: () => this.routes?.config.limits,
-      isStopping: () => this.stopping,
+      isStopping: () => this.stopSchedule !== undefined,
       memory: new MemoryGuard(context),
       serve: (request) => this.serve(request),
     };
@@ -221,7 +229,7 @@
 
   /** Joins the fleet once routes and upstreams are known, so that no caller is sent here before. */
   private joinWhenReady(): void {
-    if (this.stopping || this.fleet.isJoined) return;
+    if (this.stopSchedule || this.fleet.isJoined) return;
     const [, upstreamPosition] = this.feeds.positions;
     if (!this.routes || upstreamPosition < 0) return;
     this.fleet.join();
@@ -239,23 +247,23 @@
   }
 
   /**
-   * Stops the gateway: announces it to the fleet and to the readiness port, serves what still
-   * arrives and is in flight, and resolves when all is closed, before the end of the stop grace
-   * period.
+   * Stops the gateway: announces it to the fleet and to the readiness port, serves what is in flight
+   * and still arrives while callers may not know of the stop, refuses what arrives later, and
+   * resolves when all is closed, before the end of the stop grace period.
    */
   async stop(): Promise<void> {
-    if (this.stopping) return;
-    this.stopping = true;
+    if (this.stopSchedule) return;
     const { clock, telemetry, settings } = this.context;
     const askedAt = clock.now();
+    const linger = DIRECTORY_TTL_OVERUSE_RATIO * DIRECTORY_TTL_MS;
+    const schedule = stopScheduleOf(askedAt, linger, settings.bounds.stopGrace);
+    this.stopSchedule = schedule;
     telemetry.event('stopping', { inFlight: this.inFlight });
     this.fleet.leave();
-    const linger = DIRECTORY_TTL_OVERUSE_RATIO * DIRECTORY_TTL_MS;
-    const deadline = askedAt + settings.bounds.stopGrace - STOP_MARGIN_MS;
     for (;;) {
       const now = clock.now();
-      const isQuiet = now - this.callers.lastRequestAt > linger || now - askedAt > linger;
-      if ((this.inFlight === 0 && isQuiet) || now >= deadline) break;
+      const isQuiet = now - this.callers.lastRequestAt > linger || now > schedule.lingersUntil;
+      if ((this.inFlight === 0 && isQuiet) || now >= schedule.endsAt) break;
       await new Promise((resolve) => {
         setTimeout(resolve, STOP_POLL_MS);
       });
@@ -288,12 +296,14 @@
   }
 
   private isReady(): boolean {
-    return !this.stopping && this.fleet.isJoined;
+    return !this.stopSchedule && this.fleet.isJoined;
   }
 
   /** Forwards a request by its route. */
   private async serve(received: CallerRequest): Promise<CallerReply> {
-    const { routes } = this;
+    const { routes, stopSchedule } = this;
+    if (stopSchedule && this.context.clock.now() >= stopSchedule.refusesFrom)
+      return { kind: 'refused', why: 'stopping', retryAfter: STOPPING_RETRY_AFTER_MS };
     if (!routes) return { kind: 'refused', why: 'no-config', retryAfter: NO_CONFIG_RETRY_AFTER_MS };
     const route = routes.find(received.host, received.target);
     if (!route) return { kind: 'no-route' };
--- a/src/gateway/peer-relay.ts
+++ b/src/gateway/peer-relay.ts
@@ -17,7 +17,12 @@
 const NO_TARGET = 'relay';
 const GATEWAY_TIMEOUT = 504;
 /** Reasons for which a peer refuses a request that another peer may take. */
-const PEER_REASONS: ReadonlySet<string> = new Set(['path-cut', 'no-config', 'keys-stale']);
+const PEER_REASONS: ReadonlySet<string> = new Set([
+  'path-cut',
+  'no-config',
+  'keys-stale',
+  'stopping',
+]);
 
 const withoutRelayHeaders = (head: AnswerHead): AnswerHead => {
   const names: ReadonlySet<string> = new Set(Object.values(RELAY_HEADERS));
