Cancel pipelined calls of callers that leave, on the fleet's own interface too

Change: onceEnded observes the connection as well, in one place for the cancellation and for the answer's body. Read besides, and left: the streams of feeds between gateways, whose readers send one request a connection.

--- a/src/adapters/caller/index.ts
+++ b/src/adapters/caller/index.ts
@@ -6,6 +6,7 @@
 import type { CallerService, Clock, Telemetry } from '../../ports';
 
 import { limitedBody, isAnnouncedTooLarge } from './body-limit';
+import { onceEnded } from './exchange-end';
 import { writeAnswer, writeRefusal } from './reply';
 import { readCall, workspaceOf } from './request';
 
@@ -62,7 +63,7 @@
 /** Returns a signal that aborts if the caller disconnects before its answer is complete. */
 const callerAbortSignal = (res: ServerResponse): AbortSignal => {
   const controller = new AbortController();
-  res.on('close', () => {
+  onceEnded(res, () => {
     if (!res.writableFinished) controller.abort();
   });
   return controller.signal;
--- a/src/adapters/caller/reply.ts
+++ b/src/adapters/caller/reply.ts
@@ -6,6 +6,8 @@
 import { BufferedBody, type Reply } from '../../ports';
 import { HEADER, toRawHeaders } from '../headers';
 
+import { hasEnded, onceEnded } from './exchange-end';
+
 /** The HTTP status of each reason for which a call was not run. */
 const NOT_RUN_STATUS: Readonly<Record<Extract<Refusal, { kind: 'not-run' }>['reason'], number>> = {
   'bad-request': 400,
@@ -76,16 +78,16 @@
   reply: Extract<Reply, { kind: 'answer' }>,
   onBroken: () => void,
 ): void => {
-  if (res.destroyed) {
+  if (hasEnded(res)) {
     reply.body.destroy();
     return;
   }
+  onceEnded(res, () => reply.body.destroy());
   const headers = toRawHeaders([...reply.headers, [HEADER.outcome, 'done']]);
   res.writeHead(reply.status, headers);
   if (reply.body instanceof BufferedBody) {
     // The call counts as in progress until its body is destroyed, so the body is destroyed only
     // after it has been written.
-    res.on('close', () => reply.body.destroy());
     res.end(reply.body.bytes, () => reply.body.destroy());
     return;
   }
