Play callers that pipeline and leave in the fault soak

Change: in each run some callers send six requests ahead and leave, by close or by reset; at its end, in a calm fleet, a caller at each gateway leaves six requests that last for a minute, and each must end.

--- a/test/soak/gateways/faulted-fleet.ts
+++ b/test/soak/gateways/faulted-fleet.ts
@@ -10,6 +10,7 @@
 
 import { announceLimit, askForPause, sayLeaving } from './announcing';
 import { Callers } from './callers';
+import { LASTING_PATH, LASTING_TIMEOUT_MS, LeavingCallers } from './leaving-callers';
 import { OutcomeRecorder, type Violation } from './outcome-recorder';
 import { drawSchedule, hasPromptUpdates, type ScheduledFault, type Fault } from './schedule';
 import { breakLink, restoreLink, startProxyTo, ProxiedUpstream } from './proxied-upstream';
@@ -18,6 +19,8 @@
 const FLEET_SIZE = { gateways: 4, upstreams: 5 };
 /** Time between two requests. */
 const REQUEST_GAP_MS = 15;
+/** Number of requests between two callers that leave. */
+const LEAVING_CALLER_GAP = 7;
 /** Longest time after an upstream starts draining in which it may still get new requests. */
 const DEPARTURE_BOUND_MS = 2000;
 /** Time from the start of draining until the upstream rejoins. */
@@ -67,6 +70,8 @@
 
   private readonly storeLinks: FaultProxy[] = [];
 
+  private readonly leavingCallers: LeavingCallers;
+
   private version = 1;
 
   private sentCount = 0;
@@ -76,7 +81,9 @@
     private readonly store: StoreStandIn,
     private readonly port: number,
     private readonly callers: Callers,
-  ) {}
+  ) {
+    this.leavingCallers = new LeavingCallers(port);
+  }
 
   /**
    * Runs the schedule of one seed for `millis` milliseconds. With `timed` set, also checks the
@@ -95,6 +102,8 @@
       await fleet.recover();
       const { recorder } = fleet;
       const upstreams = fleet.upstreams.map(({ upstream }) => upstream);
+      upstreams.forEach((upstream) => Object.assign(upstream, { work: LASTING_TIMEOUT_MS }));
+      recorder.violations.push(...(await fleet.leavingCallers.check(addresses, upstreams)));
       const isTimed = timed && hasPromptUpdates(seed);
       const late = isTimed
         ? [...recorder.checkDepartures(upstreams), ...recorder.checkLimits(upstreams)]
@@ -144,7 +153,8 @@
    */
   private publishConfig(version: number): void {
     const added = Array.from({ length: version }, (_, i) => routeOf(`/v${i + 1}/`, 'safe'));
-    const paths = [routeOf('/read/', 'safe'), routeOf('/book/', 'unsafe'), ...added];
+    const lasting = routeOf(LASTING_PATH, 'safe', { timeoutMs: LASTING_TIMEOUT_MS });
+    const paths = [routeOf('/read/', 'safe'), routeOf('/book/', 'unsafe'), lasting, ...added];
     this.store.put('keyed.op', 'config', configOf(version, paths));
   }
 
@@ -290,6 +300,7 @@
     const gateway = await this.callers.chooseGateway();
     const host = this.gateways[gateway];
     if (!host) return;
+    if (number % LEAVING_CALLER_GAP === 0) await this.leavingCallers.pass(host.address);
     const { life } = host;
     const plain = kind === 'safe' ? '/read/x' : '/book/x';
     const path = askedVersion > 0 ? `/v${askedVersion}/x` : plain;
