--- a/src/gateway/caller-connection.ts
+++ b/src/gateway/caller-connection.ts
@@ -15,6 +15,8 @@
 export class CallerExchange {
   private readonly controller = new AbortController();
 
+  private readonly listeners: (() => void)[] = [];
+
   constructor(
     readonly req: IncomingMessage,
     readonly res: ServerResponse,
@@ -30,12 +32,14 @@
   /** Calls `listener` once, at the end of the exchange or at once if it has ended. */
   onEnd(listener: () => void): void {
     if (this.ended.aborted) listener();
-    else this.ended.addEventListener('abort', listener, { once: true });
+    else this.listeners.push(listener);
   }
 
   /** Ends the exchange; ending it again has no effect. */
   end(): void {
+    if (this.ended.aborted) return;
     this.controller.abort();
+    this.listeners.splice(0).forEach((listener) => listener());
   }
 }
 
