Open the two circles of imports among the gateway's modules

Cause: attempt, proxied-request and request-log imported each other, and so did forwarding and workspace-access, so that none could be read first. The linter's rule on cycles leaves out imports of types, by which they closed.

Change: the caller's request has its own module with its decoding; the log of requests takes a summary of attempts in place of the request's class.

--- /dev/null
+++ b/src/gateway/caller-request.ts
@@ -0,0 +1,71 @@
+import type { IncomingMessage } from 'node:http';
+
+import type { GatewayWorkspace, Instant, Millis } from '../model';
+import type { HeaderConventions } from '../ports';
+
+import { endToEndHeaders } from './headers';
+import { RELAY_HEADERS } from './relay-headers';
+
+/** A token that a request holds; giving it back again has no effect. */
+export interface QuotaToken {
+  giveBack(): void;
+}
+
+/** A caller's request, completely read. */
+export interface CallerRequest {
+  /** Value of the request id header; empty if the caller sent none. */
+  readonly id: string;
+  readonly method: string;
+  /** Path and query as the caller sent them. */
+  readonly target: string;
+  readonly host: string;
+  /** End-to-end headers, names and values alternating. */
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer;
+  readonly arrivedAt: Instant;
+  /** When the caller stops waiting for an answer. */
+  readonly deadline: Instant;
+  /** How many upstreams may run it, if another gateway has passed it on; else undefined. */
+  readonly relayedMaxRuns?: number | undefined;
+  /** The workspace in whose name it runs; undefined without workspaces or on a public route. */
+  readonly workspace?: GatewayWorkspace | undefined;
+  /** The caller's key, taken out of `rawHeaders`; a peer that gets the request looks at it again. */
+  readonly apiKey?: string | undefined;
+  /** The request's token of its workspace's quota, if that has one. */
+  readonly quotaToken?: QuotaToken | undefined;
+  /** Aborted when the connection to the caller closes. */
+  readonly signal: AbortSignal;
+}
+
+/** Time-out in milliseconds of a request whose caller states no remaining time. */
+const DEFAULT_REQUEST_TIMEOUT_MS: Millis = 60_000;
+
+/** Builds the request to forward from what the HTTP server has read. */
+export const decodeRequest = (
+  req: IncomingMessage,
+  headerConventions: HeaderConventions,
+  read: Pick<CallerRequest, 'body' | 'arrivedAt' | 'relayedMaxRuns' | 'signal'>,
+): CallerRequest => {
+  const header = (name: string): string => {
+    const value = req.headers[name];
+    return typeof value === 'string' ? value : '';
+  };
+  const remaining = header(headerConventions.remainingMs);
+  const timeout = /^\d{1,9}$/.test(remaining) ? Number(remaining) : DEFAULT_REQUEST_TIMEOUT_MS;
+  return {
+    ...read,
+    id: header(headerConventions.requestId),
+    method: req.method ?? 'GET',
+    target: req.url ?? '/',
+    host: req.headers.host ?? '',
+    rawHeaders: endToEndHeaders(
+      req.rawHeaders,
+      new Set([
+        headerConventions.remainingMs,
+        headerConventions.targetUpstream,
+        RELAY_HEADERS.maxRuns,
+      ]),
+    ),
+    deadline: read.arrivedAt + timeout,
+  };
+};
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -4,11 +4,10 @@
 import type { CallerLimits, Instant, Millis } from '../model';
 
 import { CallerConnection, CallerExchange } from './caller-connection';
-import type { CallerRequest } from './forwarding';
 import type { GatewayContext } from './context';
 import { discardAnswer } from './gateway-reply';
 import type { MemoryGuard } from './memory-guard';
-import { decodeRequest } from './request-decoding';
+import { decodeRequest, type CallerRequest } from './caller-request';
 import { writeError, writeRefusal, writeReply, type CallerReply } from './replies';
 
 /** Functions of the gateway that the caller server calls. */
--- a/src/gateway/crash-exchange.ts
+++ b/src/gateway/crash-exchange.ts
@@ -15,7 +15,7 @@
   type CrashMessage,
 } from './crash-message';
 import { DATAGRAM_VERSION } from './datagram';
-import type { CallerRequest } from './forwarding';
+import type { CallerRequest } from './caller-request';
 import type { DatagramLink, PeerAddress } from './peer-link';
 import { digestOf } from './request-digest';
 
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -1,38 +1,12 @@
 /** Encodes requests to upstreams, and classifies the results. */
 import { STALE_CONNECTION, type AttemptOutcome } from '../core/gateway';
-import type { GatewayWorkspace, Instant, Millis, UpstreamId } from '../model';
+import type { Millis, UpstreamId } from '../model';
 import type { HeaderConventions } from '../ports';
 
 import { headerOf } from './answer-parser';
+import type { CallerRequest } from './caller-request';
 import type { ExchangeResult } from './upstream-connection';
 import { isStaleReset } from './connection-pool';
-import type { QuotaToken } from './workspace-access';
-
-/** A caller's request, completely read. */
-export interface CallerRequest {
-  /** Value of the request id header; empty if the caller sent none. */
-  readonly id: string;
-  readonly method: string;
-  /** Path and query as the caller sent them. */
-  readonly target: string;
-  readonly host: string;
-  /** End-to-end headers, names and values alternating. */
-  readonly rawHeaders: readonly string[];
-  readonly body: Buffer;
-  readonly arrivedAt: Instant;
-  /** When the caller stops waiting for an answer. */
-  readonly deadline: Instant;
-  /** How many upstreams may run it, if another gateway has passed it on; else undefined. */
-  readonly relayedMaxRuns?: number | undefined;
-  /** The workspace in whose name it runs; undefined without workspaces or on a public route. */
-  readonly workspace?: GatewayWorkspace | undefined;
-  /** The caller's key, taken out of `rawHeaders`; a peer that gets the request looks at it again. */
-  readonly apiKey?: string | undefined;
-  /** The request's token of its workspace's quota, if that has one. */
-  readonly quotaToken?: QuotaToken | undefined;
-  /** Aborted when the connection to the caller closes. */
-  readonly signal: AbortSignal;
-}
 
 /**
  * Statuses that suggest that a request has not run. Alone they do not prove it: except with 421,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -33,7 +33,7 @@
 import { RelayServer } from './relay-server';
 import { Fleet } from './fleet';
 import { hasNotRun } from './gateway-reply';
-import type { CallerRequest } from './forwarding';
+import type { CallerRequest } from './caller-request';
 import { UpstreamRegistry } from './upstream-registry';
 import { RequestLog } from './request-log';
 import { ServiceSchedulers } from './service-schedulers';
@@ -322,7 +322,7 @@
       request,
       route,
       scheduler,
-      proxiedRequest,
+      attempts: proxiedRequest,
       reply,
       configVersion: routes.config.version,
       upstreamsAge: this.feeds.upstreamsAge(),
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -4,7 +4,8 @@
 
 import { disabledIn } from './context';
 import { costFeaturesOf, runAttempt, type RequestContext } from './attempt';
-import { NOT_RUN_STATUSES, UNFRAMED, type CallerRequest } from './forwarding';
+import type { CallerRequest } from './caller-request';
+import { NOT_RUN_STATUSES, UNFRAMED } from './forwarding';
 import { discardAnswer, hasNotRun, type GatewayReply } from './gateway-reply';
 import { endWithHedge, type AttemptResult, type RunningAttempt } from './hedging';
 import { PATH_CUT_RETRY_AFTER_MS, type RelayedRequest } from './peer-relay';
--- a/src/gateway/request-digest.ts
+++ b/src/gateway/request-digest.ts
@@ -2,7 +2,7 @@
 
 import type { RequestDigest } from '../core/crashes';
 
-import type { CallerRequest } from './forwarding';
+import type { CallerRequest } from './caller-request';
 
 /** Headers, in lower case, by which an upstream tells callers apart. */
 const CALLER_HEADERS: ReadonlySet<string> = new Set(['authorization', 'cookie']);
--- a/src/gateway/request-log.ts
+++ b/src/gateway/request-log.ts
@@ -2,17 +2,24 @@
 import type { Clock, EventField, Telemetry } from '../ports';
 
 import type { GatewayReply } from './gateway-reply';
-import type { ProxiedRequest } from './proxied-request';
-import type { CallerRequest } from './forwarding';
+import type { CallerRequest } from './caller-request';
 import type { ServiceScheduler } from './service-scheduler';
 import { keyDigestOf, type AccessRefusal } from './workspace-access';
 
+/** The attempts that a request has taken. */
+export interface AttemptSummary {
+  /** Number of attempts, hedges included. */
+  readonly attemptCount: number;
+  /** Id of the upstream of the last attempt; empty without one. */
+  readonly lastUpstream: string;
+}
+
 /** A request that has ended, with what its log line reports. */
 export interface EndedRequest {
   readonly request: CallerRequest;
   readonly route: GatewayRoute;
   readonly scheduler: ServiceScheduler;
-  readonly proxiedRequest: ProxiedRequest;
+  readonly attempts: AttemptSummary;
   readonly reply: GatewayReply;
   readonly configVersion: number;
   /**
@@ -54,7 +61,7 @@
     request,
     route,
     scheduler,
-    proxiedRequest,
+    attempts,
     reply,
     configVersion,
     upstreamsAge,
@@ -71,8 +78,8 @@
       ...('why' in reply ? { why: reply.why } : {}),
       ...('retryAfter' in reply ? { retryAfterMs: Math.round(reply.retryAfter) } : {}),
       ...(status > 0 ? { status } : {}),
-      attempts: proxiedRequest.attemptCount,
-      upstream: proxiedRequest.lastUpstream,
+      attempts: attempts.attemptCount,
+      upstream: attempts.lastUpstream,
       tookMs: Math.round(took),
       waiting: scheduler.waitingCount,
       config: configVersion,
@@ -83,7 +90,7 @@
     const isRoutine =
       reply.kind === 'answer' &&
       status < FIRST_ERROR_STATUS &&
-      proxiedRequest.attemptCount === 1 &&
+      attempts.attemptCount === 1 &&
       !late;
     if (isRoutine) this.logRoutine('request', fields);
     else this.logNotable('request', fields);
--- a/src/gateway/workspace-access.ts
+++ b/src/gateway/workspace-access.ts
@@ -4,7 +4,7 @@
 import type { GatewayConfig, GatewayRoute, GatewayWorkspace, Millis } from '../model';
 
 import type { GatewayContext } from './context';
-import type { CallerRequest } from './forwarding';
+import type { CallerRequest } from './caller-request';
 import { withoutHeaders } from './headers';
 
 /** Whether the keys known here may be relied on; `retryAfter` is in milliseconds. */
@@ -40,11 +40,6 @@
   giveBack(workspace: GatewayWorkspace, token: LeasedToken): void;
 }
 
-/** A token that a request holds; giving it back again has no effect. */
-export interface QuotaToken {
-  giveBack(): void;
-}
-
 /** The reply to a request that is not served. */
 export type AccessRefusal =
   | { readonly kind: 'unauthorized' }
--- a/test/gateway/callers-leave.test.ts
+++ b/test/gateway/callers-leave.test.ts
@@ -7,7 +7,7 @@
 import { systemClock } from '../../src/adapters';
 import { headerConventions, parseSettings } from '../../platform';
 import { CallerServer } from '../../src/gateway/caller-server';
-import type { CallerRequest } from '../../src/gateway/forwarding';
+import type { CallerRequest } from '../../src/gateway/caller-request';
 import { MemoryGuard } from '../../src/gateway/memory-guard';
 import type { CallerReply } from '../../src/gateway/replies';
 
--- a/test/gateway/crash-exchange.test.ts
+++ b/test/gateway/crash-exchange.test.ts
@@ -6,7 +6,7 @@
 import { headerConventions, parseSettings } from '../../platform';
 import { CrashExchange } from '../../src/gateway/crash-exchange';
 import { decodeCrashMessage } from '../../src/gateway/crash-message';
-import type { CallerRequest } from '../../src/gateway/forwarding';
+import type { CallerRequest } from '../../src/gateway/caller-request';
 import type { Member } from '../../src/model';
 
 import { recordingTelemetry, settingsText } from './harness';
--- a/test/soak/freshness/simulated-host.ts
+++ b/test/soak/freshness/simulated-host.ts
@@ -1,6 +1,6 @@
 import { headerConventions } from '../../../platform';
 import { FreshnessExchange } from '../../../src/gateway/freshness-exchange';
-import type { CallerRequest } from '../../../src/gateway/forwarding';
+import type { CallerRequest } from '../../../src/gateway/caller-request';
 import { WorkspaceAccess, type AccessDecision } from '../../../src/gateway/workspace-access';
 import type { GatewayContext } from '../../../src/gateway';
 import type { GatewayConfig, GatewayRoute, GatewayWorkspace, Member } from '../../../src/model';
