--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,14 +2,7 @@
 
 import { listen } from '../adapters/listen';
 import { TermsRegistry } from '../core/announcements';
-import {
-  HostGroups,
-  HostRoutes,
-  stopScheduleOf,
-  WeightedRoundRobin,
-  type StopSchedule,
-  type UpstreamChange,
-} from '../core/gateway';
+import { HostGroups, HostRoutes, WeightedRoundRobin, type UpstreamChange } from '../core/gateway';
 import {
   MILLIS_PER_SECOND,
   type GatewaySettings,
@@ -35,6 +28,7 @@
 import { hasNotRun } from './gateway-reply';
 import type { CallerRequest } from './caller-request';
 import { UpstreamRegistry } from './upstream-registry';
+import { PlannedStop } from './planned-stop';
 import { RequestLog } from './request-log';
 import { ServiceSchedulers } from './service-schedulers';
 import { createDirectoryServer, createMetricsServer, createReadinessServer } from './small-servers';
@@ -56,14 +50,10 @@
 
 /** Time in milliseconds for which callers may cache an answer of the directory. */
 const DIRECTORY_TTL_MS: Millis = 1000;
-/** Maximum age at which callers still use a cached answer, as a multiple of its time to live. */
-const DIRECTORY_TTL_OVERUSE_RATIO = 3;
+/** Time in milliseconds for which callers may use a cached answer: three times its time to live. */
+const DIRECTORY_USE_MS: Millis = 3 * DIRECTORY_TTL_MS;
 /** Retry-After in milliseconds while no configuration is known. */
 const NO_CONFIG_RETRY_AFTER_MS: Millis = 500;
-/** Retry-After in milliseconds of a request that a stopping gateway refuses; others take it. */
-const STOPPING_RETRY_AFTER_MS: Millis = 10;
-/** Interval in milliseconds at which a stopping gateway checks whether it is idle. */
-const STOP_POLL_MS: Millis = 50;
 
 /**
  * The proxy between callers and upstreams: builds the parts of a gateway, follows the feeds and
@@ -108,8 +98,7 @@
 
   private hostGroups: HostGroups | undefined;
 
-  /** Undefined until a stop is asked for. */
-  private stopSchedule: StopSchedule | undefined;
+  private readonly plannedStop: PlannedStop;
 
   constructor(
     private readonly context: GatewayContext,
@@ -163,10 +152,14 @@
     });
     const callerService: CallerService = {
       limits: () => this.routes?.config.limits,
-      isStopping: () => this.stopSchedule !== undefined,
+      isStopping: () => this.plannedStop.isAskedFor,
       memory: new MemoryGuard(context),
       serve: (request) => this.serve(request),
     };
+    this.plannedStop = new PlannedStop(context, {
+      inFlight: () => this.inFlight,
+      lastRequestAt: () => this.callers.lastRequestAt,
+    });
     this.callers = new CallerServer(context, callerService);
     this.relayed = new RelayServer(context, callerService);
     this.relay = new PeerRelay(context, {
@@ -229,7 +222,7 @@
 
   /** Joins the fleet once routes and upstreams are known, so that no caller is sent here before. */
   private joinWhenReady(): void {
-    if (this.stopSchedule || this.fleet.isJoined) return;
+    if (this.plannedStop.isAskedFor || this.fleet.isJoined) return;
     const [, upstreamPosition] = this.feeds.positions;
     if (!this.routes || upstreamPosition < 0) return;
     this.fleet.join();
@@ -252,22 +245,13 @@
    * resolves when all is closed, before the end of the stop grace period.
    */
   async stop(): Promise<void> {
-    if (this.stopSchedule) return;
-    const { clock, telemetry, settings } = this.context;
+    if (this.plannedStop.isAskedFor) return;
+    const { clock, telemetry } = this.context;
     const askedAt = clock.now();
-    const linger = DIRECTORY_TTL_OVERUSE_RATIO * DIRECTORY_TTL_MS;
-    const schedule = stopScheduleOf(askedAt, linger, settings.bounds.stopGrace);
-    this.stopSchedule = schedule;
+    this.plannedStop.begin(DIRECTORY_USE_MS);
     telemetry.event('stopping', { inFlight: this.inFlight });
     this.fleet.leave();
-    for (;;) {
-      const now = clock.now();
-      const isQuiet = now - this.callers.lastRequestAt > linger || now > schedule.lingersUntil;
-      if ((this.inFlight === 0 && isQuiet) || now >= schedule.endsAt) break;
-      await new Promise((resolve) => {
-        setTimeout(resolve, STOP_POLL_MS);
-      });
-    }
+    await this.plannedStop.waitUntilIdle(DIRECTORY_USE_MS);
     this.fleet.stop();
     telemetry.event('stopped', {
       inFlight: this.inFlight,
@@ -296,14 +280,14 @@
   }
 
   private isReady(): boolean {
-    return !this.stopSchedule && this.fleet.isJoined;
+    return !this.plannedStop.isAskedFor && this.fleet.isJoined;
   }
 
   /** Forwards a request by its route. */
   private async serve(received: CallerRequest): Promise<CallerReply> {
-    const { routes, stopSchedule } = this;
-    if (stopSchedule && this.context.clock.now() >= stopSchedule.refusesFrom)
-      return { kind: 'refused', why: 'stopping', retryAfter: STOPPING_RETRY_AFTER_MS };
+    const refusal = this.plannedStop.refusal();
+    if (refusal) return refusal;
+    const { routes } = this;
     if (!routes) return { kind: 'refused', why: 'no-config', retryAfter: NO_CONFIG_RETRY_AFTER_MS };
     const route = routes.find(received.host, received.target);
     if (!route) return { kind: 'no-route' };
