Split the fallback answer and the placement of an attempt from a request

Change: FallbackAnswer keeps and discards answers, placementRequestOf describes an attempt to the scheduler, startCancellable stands with hedging. No behaviour changes.

--- a/src/gateway/hedging.ts
+++ b/src/gateway/hedging.ts
@@ -18,6 +18,21 @@
   readonly cancel: () => void;
 }
 
+/** Starts what may be cancelled by itself, and is when the caller leaves. */
+export const startCancellable = (
+  callerLeft: AbortSignal,
+  run: (signal: AbortSignal) => Promise<AttemptResult>,
+): RunningAttempt => {
+  const controller = new AbortController();
+  const cancel = (): void => controller.abort();
+  if (callerLeft.aborted) cancel();
+  callerLeft.addEventListener('abort', cancel, { once: true });
+  const ended = run(controller.signal).finally(() =>
+    callerLeft.removeEventListener('abort', cancel),
+  );
+  return { ended, cancel };
+};
+
 /** A hedge starts when an attempt has taken this multiple of the mean latency of the route. */
 const HEDGE_LATENCY_RATIO = 2.5;
 /** Time until another try to start a hedge, as a multiple of the mean latency of the route. */
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -3,34 +3,26 @@
 import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../model';
 
 import { disabledIn } from './context';
-import { costFeaturesOf, runAttempt, type RequestContext } from './attempt';
+import { runAttempt, type RequestContext } from './attempt';
 import type { CallerRequest } from './caller-request';
-import { NOT_RUN_STATUSES, UNFRAMED } from './forwarding';
-import { discardAnswer, hasNotRun, type GatewayReply } from './gateway-reply';
-import { endWithHedge, type AttemptResult, type RunningAttempt } from './hedging';
+import { FallbackAnswer } from './fallback-answer';
+import { hasNotRun, type GatewayReply } from './gateway-reply';
+import { endWithHedge, startCancellable, type AttemptResult, type RunningAttempt } from './hedging';
+import { placementRequestOf } from './placement-request';
+import type { QueueablePlacement } from './queued-placement';
 import { PATH_CUT_RETRY_AFTER_MS, type RelayedRequest } from './peer-relay';
 import type { ServiceScheduler } from './service-scheduler';
 
 /** Minimum time left for another attempt, as a ratio of the mean latency of the route. */
 const MIN_ATTEMPT_LATENCY_RATIO = 0.6;
-/**
- * A request should start early enough to end within this ratio of the latency objective if it takes
- * the mean latency.
- */
-const START_BY_OBJECTIVE_RATIO = 0.95;
-/** Time for which a request may wait in any case, as a ratio of the latency objective. */
-const MIN_WAIT_OBJECTIVE_RATIO = 0.125;
 /**
  * Retry-After in milliseconds where no upstream is available; the store is read about once a
  * second.
  */
 const NO_UPSTREAM_RETRY_AFTER_MS: Millis = 1000;
-
 /** Largest Retry-After in milliseconds of a request that crashes upstreams. */
 const MAX_HELD_RETRY_AFTER_MS: Millis = 300_000;
 
-type UpstreamAnswer = Extract<GatewayReply, { kind: 'answer' }>;
-
 /** Carries one caller's request through attempts at upstreams to a reply. */
 export class ProxiedRequest {
   private readonly idempotent: boolean;
@@ -56,8 +48,8 @@
   /** Id of the upstream of the last attempt; empty before the first. */
   lastUpstream = '';
 
-  /** The answer passed on if no better one arrives: one of unknown completeness, or an error. */
-  private fallback: UpstreamAnswer | undefined;
+  /** The answer that is passed on if no better one arrives. */
+  private readonly fallback = new FallbackAnswer();
 
   constructor(
     private readonly context: RequestContext,
@@ -81,7 +73,7 @@
     if (!this.context.path.isCut)
       this.scheduler.retryBudget.recordRequest(this.context.clock.now());
     const reply = await this.attemptUntilReply();
-    if (this.fallback && this.fallback !== reply) discardAnswer(this.fallback);
+    this.fallback.discardUnless(reply);
     return reply;
   }
 
@@ -185,7 +177,7 @@
     if (this.request.relayedMaxRuns !== undefined) return undefined;
     if (!retryBudget.take(retryBudgetSharers(name), clock.now(), purpose, this.priority))
       return undefined;
-    return this.start(async (signal) => {
+    return startCancellable(this.request.signal, async (signal) => {
       const result = await relay.run(this.relayedRequest(signal));
       if (result.kind === 'replied' && result.reply.kind === 'answer') {
         return { outcome: { kind: 'served' }, reply: result.reply };
@@ -230,18 +222,7 @@
 
   /** Starts an attempt at an upstream. */
   private startAttempt(stats: UpstreamStats, why: string): RunningAttempt {
-    return this.start((signal) => this.attempt(stats, why, signal));
-  }
-
-  /** Starts what may be cancelled by itself, and is when the caller leaves. */
-  private start(run: (signal: AbortSignal) => Promise<AttemptResult>): RunningAttempt {
-    const controller = new AbortController();
-    const cancel = (): void => controller.abort();
-    const { signal } = this.request;
-    if (signal.aborted) cancel();
-    signal.addEventListener('abort', cancel, { once: true });
-    const ended = run(controller.signal).finally(() => signal.removeEventListener('abort', cancel));
-    return { ended, cancel };
+    return startCancellable(this.request.signal, (signal) => this.attempt(stats, why, signal));
   }
 
   /** Returns the reply after a failed attempt; undefined if the request may be retried. */
@@ -273,40 +254,18 @@
 
   /** Returns the reply when no further attempt is made. */
   private finalReply(why: string, retryAfter: Millis): GatewayReply {
-    if (this.fallback) return this.fallback;
+    if (this.fallback.answer) return this.fallback.answer;
     if (this.runs === 0) return { kind: 'refused', why, retryAfter };
     return { kind: 'lost', why, isTimeout: why === 'timeout' };
   }
 
   /** Describes to the scheduler what an attempt made now needs. */
-  private placementRequest(): Parameters<ServiceScheduler['place']>[0] {
-    const { arrivedAt, signal } = this.request;
-    const meanLatency = this.scheduler.balancer.meanLatency(this.route.name);
-    const now = this.context.clock.now();
-    const inObjective =
-      arrivedAt + START_BY_OBJECTIVE_RATIO * this.route.latencyObjective - meanLatency;
-    return {
-      retryable: this.idempotent && this.runs + 1 < this.maxRuns,
-      tried: this.tried,
-      bodyBytes: this.request.body.length,
-      meanBytes: this.request.body.length + this.scheduler.balancer.meanBytes(this.route.name),
-      meanLatency,
-      cost: disabledIn(this.context).has('learned-cost')
-        ? undefined
-        : this.scheduler.balancer.costs.estimate(costFeaturesOf(this.request, this.route)),
-      objective: arrivedAt + this.route.latencyObjective - now,
-      remaining: this.deadline - now,
-      lastResort: false,
-      priority: this.priority,
-      workspace: this.request.workspace?.name,
-      arrivedAt: now,
-      startBy: Math.max(
-        inObjective,
-        arrivedAt + MIN_WAIT_OBJECTIVE_RATIO * this.route.latencyObjective,
-      ),
-      signal,
-      route: this.route.name,
-    };
+  private placementRequest(): QueueablePlacement {
+    const { request, route, priority, deadline, tried } = this;
+    const { balancer } = this.scheduler;
+    const retryable = this.idempotent && this.runs + 1 < this.maxRuns;
+    const next = { request, route, balancer, priority, deadline, retryable, tried };
+    return placementRequestOf(this.context, next);
   }
 
   /** Makes one attempt, and keeps an answer that may serve as the fallback. */
@@ -334,18 +293,7 @@
     const { head, body } = result;
     const reply = { kind: 'answer', head, body, upstream: stats.upstream } as const;
     if (outcome.kind === 'served') return { outcome, reply };
-    const unused = this.keepFallback(outcome, reply);
-    if (unused) discardAnswer(unused);
+    this.fallback.offer(outcome, reply);
     return { outcome };
   }
-
-  /** Keeps an answer if it may serve as the fallback; returns the one that is not needed. */
-  private keepFallback(outcome: AttemptOutcome, reply: UpstreamAnswer): UpstreamAnswer | undefined {
-    const { fallback } = this;
-    const isUnframed = outcome.kind === 'unknown' && outcome.why === UNFRAMED;
-    const isFailure = outcome.kind === 'failed' && !NOT_RUN_STATUSES.has(reply.head.status);
-    if (!isUnframed && !(isFailure && !fallback)) return reply;
-    this.fallback = reply;
-    return fallback;
-  }
 }
