Split what decides on a request from the gateway that builds the parts

Cause: gateway.ts built the parts and decided on each request; a request refused in a planned stop was not logged.

Change: RequestRouter decides: route, stop, key and quota, service. Its refusals in a stop have a log line, which late-requests.test.ts checks.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,7 +2,7 @@
 
 import { listen } from '../adapters/listen';
 import { TermsRegistry } from '../core/announcements';
-import { HostGroups, HostRoutes, WeightedRoundRobin, type UpstreamChange } from '../core/gateway';
+import { HostGroups, HostRoutes, type UpstreamChange } from '../core/gateway';
 import {
   MILLIS_PER_SECOND,
   type GatewaySettings,
@@ -15,7 +15,6 @@
 
 import { AnnouncementReader } from './announcements';
 import type { RequestContext } from './attempt';
-import { ProxiedRequest } from './proxied-request';
 import { CallerServer, type CallerService } from './caller-server';
 import { disabledIn, type GatewayContext } from './context';
 import { Feeds } from './feeds';
@@ -25,15 +24,13 @@
 import { PeerRelay } from './peer-relay';
 import { RelayServer } from './relay-server';
 import { Fleet } from './fleet';
-import { hasNotRun } from './gateway-reply';
-import type { CallerRequest } from './caller-request';
 import { UpstreamRegistry } from './upstream-registry';
 import { PlannedStop } from './planned-stop';
 import { RequestLog } from './request-log';
+import { RequestRouter } from './request-router';
 import { ServiceSchedulers } from './service-schedulers';
 import { createDirectoryServer, createMetricsServer, createReadinessServer } from './small-servers';
 import { ConnectionPool } from './connection-pool';
-import type { CallerReply } from './replies';
 import { WorkspaceAccess } from './workspace-access';
 
 /** Sources and codecs that a gateway is connected to. */
@@ -52,8 +49,6 @@
 const DIRECTORY_TTL_MS: Millis = 1000;
 /** Time in milliseconds for which callers may use a cached answer: three times its time to live. */
 const DIRECTORY_USE_MS: Millis = 3 * DIRECTORY_TTL_MS;
-/** Retry-After in milliseconds while no configuration is known. */
-const NO_CONFIG_RETRY_AFTER_MS: Millis = 500;
 
 /**
  * The proxy between callers and upstreams: builds the parts of a gateway, follows the feeds and
@@ -66,8 +61,6 @@
 
   private readonly terms = new TermsRegistry();
 
-  private readonly roundRobin = new WeightedRoundRobin();
-
   private readonly pool: ConnectionPool;
 
   private readonly feeds: Feeds;
@@ -89,9 +82,7 @@
 
   private readonly metricsServer: Server;
 
-  private readonly requestContext: RequestContext;
-
-  private readonly access: WorkspaceAccess;
+  private readonly router: RequestRouter;
 
   /** Routes of the configuration in force; undefined until one is known. */
   private routes: HostRoutes | undefined;
@@ -154,7 +145,7 @@
       limits: () => this.routes?.config.limits,
       isStopping: () => this.plannedStop.isAskedFor,
       memory: new MemoryGuard(context),
-      serve: (request) => this.serve(request),
+      serve: (request) => this.router.serve(request),
     };
     this.plannedStop = new PlannedStop(context, {
       inFlight: () => this.inFlight,
@@ -181,8 +172,8 @@
     ];
     this.metricsServer = createMetricsServer(() => ports.metrics());
     const { freshness, quotas } = this.fleet;
-    this.access = new WorkspaceAccess(context, freshness, quotas, () => this.routes?.config);
-    this.requestContext = {
+    const access = new WorkspaceAccess(context, freshness, quotas, () => this.routes?.config);
+    const requestContext: RequestContext = {
       ...context,
       pool: this.pool,
       log: new RequestLog(clock, telemetry),
@@ -193,6 +184,11 @@
       reportObservation: (scheduler, ...sighting) =>
         this.fleet.reportObservation(scheduler.name, ...sighting),
     };
+    this.router = new RequestRouter(requestContext, access, this.plannedStop, {
+      routes: () => this.routes,
+      schedulerOf: (service) => this.schedulers.of(service),
+      upstreamsAge: () => this.feeds.upstreamsAge(),
+    });
   }
 
   /** Listens on all ports and starts to follow the feeds; rejects if a port can't be bound. */
@@ -283,37 +279,6 @@
     return !this.plannedStop.isAskedFor && this.fleet.isJoined;
   }
 
-  /** Forwards a request by its route. */
-  private async serve(received: CallerRequest): Promise<CallerReply> {
-    const refusal = this.plannedStop.refusal();
-    if (refusal) return refusal;
-    const { routes } = this;
-    if (!routes) return { kind: 'refused', why: 'no-config', retryAfter: NO_CONFIG_RETRY_AFTER_MS };
-    const route = routes.find(received.host, received.target);
-    if (!route) return { kind: 'no-route' };
-    const access = await this.access.decide(received, route);
-    const { request } = access;
-    if (access.kind === 'denied') {
-      this.requestContext.log.logDenied({ request, route, reply: access.reply });
-      return access.reply;
-    }
-    const scheduler = this.schedulers.of(this.roundRobin.next(route));
-    const proxiedRequest = new ProxiedRequest(this.requestContext, request, route, scheduler);
-    const reply = await proxiedRequest.run();
-    const wasNotSent = reply.kind === 'nobody' && proxiedRequest.attemptCount === 0;
-    if (hasNotRun(reply) || wasNotSent) request.quotaToken?.giveBack();
-    this.requestContext.log.logEnded({
-      request,
-      route,
-      scheduler,
-      attempts: proxiedRequest,
-      reply,
-      configVersion: routes.config.version,
-      upstreamsAge: this.feeds.upstreamsAge(),
-    });
-    return reply;
-  }
-
   /** Takes in that this gateway's own path to the upstreams is cut, or good again. */
   private onPathChange(isCut: boolean): void {
     this.fleet.paths.setOwn(isCut);
@@ -334,7 +299,7 @@
           const inForce = this.routes?.config.version ?? -1;
           if (config.version <= inForce) return;
           this.routes = new HostRoutes(config);
-          this.roundRobin.clear();
+          this.router.onRoutesChanged();
           this.recomputeHostGroups();
           this.callers.applyLimits();
           this.context.telemetry.event('config-in-force', {
--- a/src/gateway/planned-stop.ts
+++ b/src/gateway/planned-stop.ts
@@ -4,6 +4,8 @@
 import type { GatewayContext } from './context';
 import type { GatewayReply } from './gateway-reply';
 
+type Refusal = Extract<GatewayReply, { kind: 'refused' }>;
+
 /** Interval in milliseconds at which a stopping gateway checks whether it is idle. */
 const POLL_MS: Millis = 50;
 /** Retry-After in milliseconds of a request that a stopping gateway refuses; others take it. */
@@ -32,7 +34,7 @@
   }
 
   /** Returns the reply to a request that comes too late in the stop; undefined if it is taken. */
-  refusal(): GatewayReply | undefined {
+  refusal(): Refusal | undefined {
     if (!this.schedule || this.context.clock.now() < this.schedule.refusesFrom) return undefined;
     return { kind: 'refused', why: 'stopping', retryAfter: RETRY_AFTER_MS };
   }
--- a/src/gateway/request-log.ts
+++ b/src/gateway/request-log.ts
@@ -28,7 +28,7 @@
   readonly upstreamsAge: Millis;
 }
 
-/** A request that is not served because of its key or its workspace's quota. */
+/** A request that is not served because of its key, its workspace's quota or a planned stop. */
 export interface DeniedRequest {
   readonly request: CallerRequest;
   readonly route: GatewayRoute;
--- a/test/gateway/late-requests.test.ts
+++ b/test/gateway/late-requests.test.ts
@@ -53,6 +53,9 @@
     expect(seen.filter(({ id, end }) => end === 'cut' && harness.runsOf(id) > 0)).toEqual([]);
     expect(seen.filter(({ id, end }) => end === 503 && harness.runsOf(id) > 0)).toEqual([]);
     expect(seen.some(({ end }) => end === 200)).toEqual(true);
-    expect(seen.some(({ end }) => end === 503)).toEqual(true);
+    const refused = seen.filter(({ end }) => end === 503).map(({ id }) => id);
+    expect(refused.length).toBeGreaterThan(0);
+    const logged = harness.telemetry.events.filter(({ fields }) => fields.why === 'stopping');
+    expect(logged.map(({ fields }) => fields.request).toSorted()).toEqual(refused.toSorted());
   });
 });
--- a/test/gateway/quota.test.ts
+++ b/test/gateway/quota.test.ts
@@ -75,9 +75,8 @@
     await harness.until(() => current.count('quota-allocator-started') === 3);
     await pause(1500);
     // One token has accrued; the request that takes it waits for a slot.
-    const others = new AbortController();
-    const { signal } = others;
-    const sendAll = Array.from({ length: otherCount }, (_, i) =>
+    const others = Array.from({ length: otherCount }, () => new AbortController());
+    const sendAll = others.map(({ signal }, i) =>
       current.request(`p-${i}`, '/public/x', { deadlineMs: 60_000, signal }).catch(() => {}),
     );
     await harness.until(() => current.count('request') + upstream.runs.length > 9);
@@ -92,7 +91,7 @@
     await sent;
     await harness.until(() => current.count('undelivered') === 1);
     upstream.work = 5;
-    others.abort();
+    others.forEach((other) => other.abort());
     await Promise.all(sendAll);
     await harness.until(() => upstream.cancelled.length === upstream.runs.length);
     expect((await send(harness, 'next')).status).toEqual(200);
