Read the last request that a connection takes whole

What callers would see: of more than 40 requests sent ahead, the last one that was taken got no answer if its body came in later, and the connection hung until the time-out of the whole request.

Cause: a connection dropped its input as soon as it took its last request, that request's own body included.

Evidence: the new case of callers-leave.test.ts, red before.

Change: the input is dropped once that request is read. The connection tells its times by the clock itself, in place of being told.

--- a/src/gateway/caller-connection.ts
+++ b/src/gateway/caller-connection.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 
 import type { Instant } from '../model';
+import type { Clock } from '../ports';
 
 /** Number of requests of one connection that are served at the same time. */
 const MAX_SERVED_COUNT = 8;
@@ -83,12 +84,14 @@
   /** `onLeave` is called when the caller has left, before the exchanges end. */
   constructor(
     private readonly socket: Socket,
-    onLeave: () => void,
+    private readonly clock: Clock,
+    onLeave: (connection: CallerConnection) => void,
   ) {
     const leave = (): void => {
       socket.off('end', leave);
       socket.off('close', leave);
-      onLeave();
+      this.leftAt = clock.now();
+      onLeave(this);
       this.isClosing = true;
       endAll(this.open);
     };
@@ -112,11 +115,14 @@
    * response, so that it counts as not read.
    */
   add(exchange: CallerExchange): boolean {
+    this.lastReadAt = this.clock.now();
     if (this.isClosing) return false;
     this.last = exchange;
     this.open.push({ exchange });
     exchange.onEnd(() => this.remove(exchange));
-    if (this.open.length >= MAX_OPEN_COUNT) this.close();
+    if (this.open.length < MAX_OPEN_COUNT) return true;
+    this.isClosing = true;
+    exchange.req.once('end', () => this.dropInput());
     return true;
   }
 
@@ -152,10 +158,14 @@
     return this.last === exchange;
   }
 
-  /** Takes no further requests: drops what is read from now on. */
+  /** Takes no further requests, and drops what is read from now on. */
   close(): void {
-    if (this.isClosing) return;
     this.isClosing = true;
+    this.dropInput();
+  }
+
+  /** Drops what is read from now on; a disconnection is still noticed. */
+  private dropInput(): void {
     // Not while the server's parser is at work on what has been read.
     setImmediate(() => {
       this.socket.removeAllListeners('data');
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -90,7 +90,6 @@
   onRequest(req: IncomingMessage, res: ServerResponse): void {
     this.lastRequestAt = this.context.clock.now();
     const connection = this.connectionOf(req.socket);
-    connection.lastReadAt = this.lastRequestAt;
     const exchange = new CallerExchange(req, res);
     if (!connection.add(exchange)) return;
     this.inFlight += 1;
@@ -103,23 +102,21 @@
   private connectionOf(socket: Socket): CallerConnection {
     const known = this.connections.get(socket);
     if (known) return known;
-    const connection: CallerConnection = new CallerConnection(socket, () =>
-      this.onLeave(connection),
+    const connection = new CallerConnection(socket, this.context.clock, (left) =>
+      this.onLeave(left),
     );
     this.connections.set(socket, connection);
     return connection;
   }
 
   /** Logs that a caller has left while requests of it are unanswered. */
-  private onLeave(connection: CallerConnection): void {
-    const now = this.context.clock.now();
-    Object.assign(connection, { leftAt: now });
-    if (connection.openCount === 0) return;
+  private onLeave({ openCount, waitingCount, lastReadAt }: CallerConnection): void {
+    if (openCount === 0) return;
     this.context.telemetry.count('caller_departures');
     this.context.telemetry.event('caller-left', {
-      open: connection.openCount,
-      waiting: connection.waitingCount,
-      readMs: Math.round(now - connection.lastReadAt),
+      open: openCount,
+      waiting: waitingCount,
+      readMs: Math.round(this.context.clock.now() - lastReadAt),
     });
   }
 
--- a/test/gateway/callers-leave.test.ts
+++ b/test/gateway/callers-leave.test.ts
@@ -28,6 +28,9 @@
 const LARGE_ANSWER_BYTES = 64 * 1024;
 /** More requests than a server serves and keeps waiting for one connection. */
 const MANY_REQUESTS = 120;
+/** Numbers of requests that a server serves, and takes, for one connection. */
+const MAX_SERVED_COUNT = 8;
+const MAX_OPEN_COUNT = 40;
 
 const until = async (condition: () => boolean): Promise<void> => {
   const deadline = Date.now() + 10_000;
@@ -97,6 +100,9 @@
 
   private readonly sockets: Socket[] = [];
 
+  /** Answers requests by id that have no reply yet. */
+  private readonly answers = new Map<string, () => void>();
+
   constructor() {
     const parsed = parseSettings('test', settingsText(8000, 9000)).unsafeCoerce();
     const settings = { ...parsed, limits: { ...parsed.limits, memoryBytes: HOST_MEMORY_BYTES } };
@@ -137,6 +143,11 @@
     return socket;
   }
 
+  /** Answers a request that is served. */
+  answer(id: string): void {
+    this.answers.get(id)?.();
+  }
+
   /** Longest time in milliseconds for which a request outlived its caller, by the log. */
   get longestOutliving(): number {
     const times = this.telemetry.events
@@ -156,6 +167,9 @@
     const reply = this.replies.get(id);
     return new Promise((resolve) => {
       if (reply) resolve(reply);
+      this.answers.set(id, () =>
+        resolve(answerOf(id, { kind: 'whole', bytes: Buffer.from(`<${id}>`) })),
+      );
       signal.addEventListener('abort', () => {
         this.cancelled.add(id);
         resolve({ kind: 'nobody' });
@@ -249,6 +263,30 @@
     });
   });
 
+  /** Guards against a body that is dropped as its request is the last that is taken. */
+  it('not, all requests that its connection takes are read whole and answered', async () => {
+    const { replies, served } = await start();
+    const ids = idsOf(MANY_REQUESTS);
+    ids.forEach((id) =>
+      replies.set(id, answerOf(id, { kind: 'whole', bytes: Buffer.from(`<${id}>`) })),
+    );
+    const [first = '', ...rest] = ids;
+    replies.delete(first);
+    const last = requestText('last', ['Content-Length: 10']);
+    replies.set('last', answerOf('last', { kind: 'whole', bytes: Buffer.from('<last>') }));
+    const socket = scene.connect(textOf([first, ...rest.slice(0, MAX_OPEN_COUNT - 2)]) + last);
+    await until(() => served.length === MAX_SERVED_COUNT);
+    await turns(4);
+    socket.write('0123456789');
+    socket.write(textOf(['behind']));
+    await turns(20);
+    scene.answer(first);
+    await until(() => socket.closed);
+    expect(socket.received.match(/<\w+>/g)?.at(-1)).toEqual('<last>');
+    expect(served.length).toEqual(MAX_OPEN_COUNT);
+    expect(served).not.toInclude('behind');
+  });
+
   /** Guards against an upstream that goes on sending an answer whose turn never comes. */
   it('an answer that is streamed behind another one is discarded', async () => {
     const { replies, served } = await start();
