Type the reply of which an answer is discarded

Cause: read as a newcomer, discardAnswer took anything with a kind and a body.

Change: it takes a reply. No behaviour changes.

--- a/src/gateway/gateway-reply.ts
+++ b/src/gateway/gateway-reply.ts
@@ -27,9 +27,8 @@
   kind === 'refused' || kind === 'over-quota';
 
 /** Destroys the body stream of an answer that nobody reads, which frees its connection. */
-export const discardAnswer = (reply: {
-  readonly kind: string;
-  readonly body?: AnswerBody;
-}): void => {
-  if (reply.body?.kind === 'stream') reply.body.stream.destroy();
+export const discardAnswer = (
+  reply: GatewayReply | { readonly kind: 'no-route' | 'unauthorized' },
+): void => {
+  if (reply.kind === 'answer' && reply.body.kind === 'stream') reply.body.stream.destroy();
 };
