--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -6,6 +6,8 @@
 
 import { closeServer, listen, type StandIn } from '../server';
 
+import { HEAD_END, headerOf, okResponse, refusalOf } from './responses';
+
 /** What an upstream does with a request; `well` answers it correctly. */
 export type UpstreamFaultMode =
   | 'well'
@@ -89,35 +91,6 @@
 /** Idle time of a connection after which the mode `drops-idle` resets it. */
 const IDLE_RESET_MS = 120;
 
-const HEAD_END = '\r\n\r\n';
-
-/** Returns the value of a header, or an empty string. */
-const headerOf = (head: string, name: string): string =>
-  new RegExp(`^${name}: *(.*)$`, 'im').exec(head)?.[1]?.trim() ?? '';
-
-/** Returns a complete response 200 to request `id`. */
-const okResponse = (id: string, body: string, extraHeaders: readonly string[] = []): string =>
-  [
-    'HTTP/1.1 200 OK',
-    `X-Redwingmount-Request-Id: ${id}`,
-    'X-Redwingmount-Response-Signature: 3e1b.07',
-    'X-Redwingmount-Backend-Load: 1,0,6',
-    `Content-Length: ${body.length}`,
-    ...extraHeaders,
-    '',
-    body,
-  ].join('\r\n');
-
-/** Returns the response to a request that is not run; without the header if `id` is empty. */
-const refusalOf = (id: string, extraLines: string): string =>
-  [
-    'HTTP/1.1 503 Service Unavailable',
-    'X-Redwingmount-Not-Executed: 1',
-    ...(id === '' ? [] : [`X-Redwingmount-Request-Id: ${id}`]),
-    `${extraLines}Content-Length: 0`,
-    HEAD_END.slice(2),
-  ].join('\r\n');
-
 /** The TCP server of one upstream. */
 class PlatformUpstreamServer implements PlatformUpstream {
   port = 0;
--- a/test/gateway/callers-leave.test.ts
+++ b/test/gateway/callers-leave.test.ts
@@ -1,29 +1,26 @@
 import { expect } from 'earl';
 import { spawnSync } from 'node:child_process';
-import net, { type AddressInfo, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { PassThrough } from 'node:stream';
 import { afterEach, describe, it } from 'node:test';
 
-import { systemClock } from '../../src/adapters';
-import { headerConventions, parseSettings } from '../../platform';
-import { CallerServer } from '../../src/gateway/caller-server';
 import type { CallerRequest } from '../../src/gateway/caller-request';
-import { MemoryGuard } from '../../src/gateway/memory-guard';
 import type { CallerReply } from '../../src/gateway/replies';
 
-import { recordingTelemetry, settingsText } from './harness';
+import {
+  answerOf,
+  HOST_MEMORY_BYTES,
+  idsOf,
+  requestText,
+  CallerServerScene,
+  textOf,
+  turns,
+  until,
+} from './caller-server-scene';
 
 /** Time in milliseconds after a caller left within which all work for it has ended. */
 const MAX_OUTLIVE_MS = 500;
-/** With a quarter for buffers the limit is 1 MB, and reading pauses at half of that. */
-const HOST_MEMORY_BYTES = 4e6;
 const HELD_BODY_BYTES = 290_000;
-const LIMITS = {
-  maxHeaderBytes: 16 * 1024,
-  maxBodyBytes: 300_000,
-  headerTimeout: 3000,
-  idleTimeout: 15_000,
-};
 /** More than Node's server holds back for one connection before it stops reading. */
 const LARGE_ANSWER_BYTES = 64 * 1024;
 /** More requests than a server serves and keeps waiting for one connection. */
@@ -32,156 +29,16 @@
 const MAX_SERVED_COUNT = 8;
 const MAX_OPEN_COUNT = 40;
 
-const until = async (condition: () => boolean): Promise<void> => {
-  const deadline = Date.now() + 10_000;
-  while (!condition()) {
-    if (Date.now() > deadline) throw new Error(`not met in 10 s: ${condition.toString()}`);
-    await new Promise((resolve) => {
-      setTimeout(resolve, 10);
-    });
-  }
-};
-
-const turns = async (count: number): Promise<void> => {
-  for (let i = 0; i < count; i++)
-    await new Promise((resolve) => {
-      setImmediate(resolve);
-    });
-};
-
-const requestText = (id: string, more: readonly string[] = []): string =>
-  [`GET /${id} HTTP/1.1`, 'Host: h', `X-Redwingmount-Request-Id: ${id}`, ...more, '\r\n'].join(
-    '\r\n',
-  );
-
-const textOf = (ids: readonly string[]): string => ids.map((id) => requestText(id)).join('');
-
-const idsOf = (count: number): readonly string[] =>
-  Array.from({ length: count }, (_, i) => `q${i}`);
-
-const answerOf = (
-  id: string,
-  body: Extract<CallerReply, { kind: 'answer' }>['body'],
-): CallerReply => ({
-  kind: 'answer',
-  head: {
-    status: 200,
-    rawHeaders: ['x-redwingmount-request-id', id],
-    keepsAlive: true,
-    length: body.kind === 'whole' ? body.bytes.length : undefined,
-    endsWithConnection: false,
-  },
-  body,
-  upstream: undefined,
-});
-
 /** How a caller leaves. */
 const DEPARTURES: Readonly<Record<string, (socket: Socket) => void>> = {
   'closes its connection': (socket) => socket.destroy(),
   'resets its connection': (socket) => socket.resetAndDestroy(),
 };
 
-/** A caller server whose requests go on until their caller leaves, unless they have a reply. */
-class Scene {
-  readonly telemetry = recordingTelemetry();
-
-  readonly memory: MemoryGuard;
-
-  readonly caller: CallerServer;
-
-  /** Ids of the requests that are served, in order. */
-  readonly served: string[] = [];
-
-  /** Ids of the requests whose signal was aborted. */
-  readonly cancelled = new Set<string>();
-
-  /** Replies by request id; the others get none. */
-  readonly replies = new Map<string, CallerReply>();
-
-  private readonly sockets: Socket[] = [];
-
-  /** Answers requests by id that have no reply yet. */
-  private readonly answers = new Map<string, () => void>();
-
-  constructor() {
-    const parsed = parseSettings('test', settingsText(8000, 9000)).unsafeCoerce();
-    const settings = { ...parsed, limits: { ...parsed.limits, memoryBytes: HOST_MEMORY_BYTES } };
-    const { telemetry } = this;
-    this.memory = new MemoryGuard({ settings, telemetry });
-    this.caller = new CallerServer(
-      { settings, clock: systemClock, telemetry, headerConventions, random: () => 0 },
-      {
-        limits: () => LIMITS,
-        isStopping: () => false,
-        memory: this.memory,
-        serve: (request) => this.serve(request),
-      },
-    );
-  }
-
-  get port(): number {
-    return (this.caller.server.address() as AddressInfo).port;
-  }
-
-  async listen(): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.caller.server.listen(0, '127.0.0.1', resolve);
-    });
-  }
-
-  /** Connects a caller that writes `text` and reads nothing unless `reads`. */
-  connect(text: string): Socket & { received: string } {
-    const socket = Object.assign(
-      net.connect(this.port, '127.0.0.1', () => socket.write(text)),
-      { received: '' },
-    );
-    socket.on('data', (chunk: Buffer) => {
-      socket.received += chunk.toString('latin1');
-    });
-    socket.on('error', () => {});
-    this.sockets.push(socket);
-    return socket;
-  }
-
-  /** Answers a request that is served. */
-  answer(id: string): void {
-    this.answers.get(id)?.();
-  }
-
-  /** Longest time in milliseconds for which a request outlived its caller, by the log. */
-  get longestOutliving(): number {
-    const times = this.telemetry.events
-      .filter(({ name }) => name === 'undelivered')
-      .map(({ fields }) => Number(fields.leftMs));
-    return Math.max(0, ...times);
-  }
-
-  close(): void {
-    this.sockets.forEach((socket) => socket.destroy());
-    this.caller.server.close();
-    this.caller.server.closeAllConnections();
-  }
-
-  private serve({ id, signal }: CallerRequest): Promise<CallerReply> {
-    this.served.push(id);
-    const reply = this.replies.get(id);
-    return new Promise((resolve) => {
-      if (reply) resolve(reply);
-      this.answers.set(id, () =>
-        resolve(answerOf(id, { kind: 'whole', bytes: Buffer.from(`<${id}>`) })),
-      );
-      signal.addEventListener('abort', () => {
-        this.cancelled.add(id);
-        resolve({ kind: 'nobody' });
-      });
-    });
-  }
-}
-
 describe('when a caller leaves', () => {
-  let scene: Scene;
-  const start = async (): Promise<Scene> => {
-    scene = new Scene();
+  let scene: CallerServerScene;
+  const start = async (): Promise<CallerServerScene> => {
+    scene = new CallerServerScene();
     await scene.listen();
     return scene;
   };
