Log how late the event loop polls its sockets and requests are read

Cause: neither log nor metric told a host that reads late from an upstream that answers late; both end in a request held past its route's timeout.

Change: ArrivalTimes bounds when a request arrived by the latest complete poll of the sockets, and by the latest time at which the queue of new connections was empty: Node takes one connection from it in each turn of the event loop. The event event-loop-late and the metric read_delay. No decision changes.

Ten connections that were opened while the event loop was blocked were read in ten turns of it.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -9,3 +9,4 @@
 export * from './host-groups';
 export * from './idle-connection-limit';
 export * from './stop-schedule';
+export * from './poll-times';
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -3,6 +3,7 @@
 
 import type { CallerLimits, Instant, Millis } from '../model';
 
+import type { ArrivalTimes } from './arrival-times';
 import { CallerConnection, CallerExchange } from './caller-connection';
 import type { GatewayContext } from './context';
 import { discardAnswer } from './gateway-reply';
@@ -17,6 +18,8 @@
   isStopping(): boolean;
   /** Counts what is buffered for callers, of all servers of this gateway. */
   readonly memory: MemoryGuard;
+  /** Tells when requests arrived, at all servers of this gateway. */
+  readonly arrivals: ArrivalTimes;
   /** Serves a request that has been read completely. */
   serve(request: CallerRequest): Promise<CallerReply>;
   /** Returns how many upstreams may run a request that another gateway has passed on. */
@@ -128,7 +131,8 @@
     const chunks: Buffer[] = [];
     let size = 0;
     const limits = this.service.limits() ?? INITIAL_LIMITS;
-    const { memory } = this.service;
+    const { memory, arrivals } = this.service;
+    arrivals.arrivalAt(socket);
     const release = (): void => {
       memory.release(socket, size);
       size = 0;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,6 +14,7 @@
 import type { ConfigFeedItem, DirectoryCodec, Feed, ReadinessCodec, RecordDecoder } from '../ports';
 
 import { AnnouncementReader } from './announcements';
+import { ArrivalTimes } from './arrival-times';
 import type { RequestContext } from './attempt';
 import { CallerServer, type CallerService } from './caller-server';
 import { disabledIn, type GatewayContext } from './context';
@@ -65,6 +66,8 @@
 
   private readonly feeds: Feeds;
 
+  private readonly arrivals: ArrivalTimes;
+
   private readonly callers: CallerServer;
 
   private readonly fleet: Fleet;
@@ -141,10 +144,12 @@
       readsAtStore: () => !this.feeds.isRelayed,
       readStore: () => this.feeds.readConfigNow(),
     });
+    this.arrivals = new ArrivalTimes(context);
     const callerService: CallerService = {
       limits: () => this.routes?.config.limits,
       isStopping: () => this.plannedStop.isAskedFor,
       memory: new MemoryGuard(context),
+      arrivals: this.arrivals,
       serve: (request) => this.router.serve(request),
     };
     this.plannedStop = new PlannedStop(context, {
@@ -153,6 +158,7 @@
     });
     this.callers = new CallerServer(context, callerService);
     this.relayed = new RelayServer(context, callerService);
+    [this.callers.server, this.feeds.server].forEach((server) => this.arrivals.watch(server));
     this.relay = new PeerRelay(context, {
       peersFor: (service) => this.fleet.relayPeersOf(service),
       onAnswerHead: (upstream, head) => announcements.read(upstream, head),
@@ -262,6 +268,7 @@
   }
 
   private close(): void {
+    this.arrivals.close();
     this.feeds.close();
     this.registry.close();
     this.path.close();
--- a/src/gateway/relay-server.ts
+++ b/src/gateway/relay-server.ts
@@ -27,6 +27,7 @@
       limits: () => service.limits(),
       isStopping: () => service.isStopping(),
       memory: service.memory,
+      arrivals: service.arrivals,
       serve: (request) => service.serve(request),
       relayedMaxRuns: maxRunsOf,
       setHeaders: setRelayHeaders,
--- a/test/gateway/caller-server-scene.ts
+++ b/test/gateway/caller-server-scene.ts
@@ -3,6 +3,7 @@
 
 import { systemClock } from '../../src/adapters';
 import { headerConventions, parseSettings } from '../../platform';
+import { ArrivalTimes } from '../../src/gateway/arrival-times';
 import { CallerServer } from '../../src/gateway/caller-server';
 import type { CallerRequest } from '../../src/gateway/caller-request';
 import { MemoryGuard } from '../../src/gateway/memory-guard';
@@ -74,6 +75,8 @@
 
   readonly memory: MemoryGuard;
 
+  readonly arrivals: ArrivalTimes;
+
   readonly caller: CallerServer;
 
   /** Ids of the requests that are served, in order. */
@@ -95,15 +98,18 @@
     const settings = { ...parsed, limits: { ...parsed.limits, memoryBytes: HOST_MEMORY_BYTES } };
     const { telemetry } = this;
     this.memory = new MemoryGuard({ settings, telemetry });
+    this.arrivals = new ArrivalTimes({ clock: systemClock, telemetry });
     this.caller = new CallerServer(
       { settings, clock: systemClock, telemetry, headerConventions, random: () => 0 },
       {
         limits: () => LIMITS,
         isStopping: () => false,
         memory: this.memory,
+        arrivals: this.arrivals,
         serve: (request) => this.serve(request),
       },
     );
+    this.arrivals.watch(this.caller.server);
   }
 
   get port(): number {
@@ -144,6 +150,7 @@
   }
 
   close(): void {
+    this.arrivals.close();
     this.sockets.forEach((socket) => socket.destroy());
     this.caller.server.close();
     this.caller.server.closeAllConnections();
