Let time limits run from the arrival of a request, not from its reading

What callers saw: a request on a busy host was held its route's timeout from when the host read it, and upstreams were told more time than its caller had.

Cause: arrivedAt was the time at which the HTTP server read the head. A host whose event loop stands still, or that takes connections one per turn, reads long after the arrival.

Change: the arrival is the earliest time that polls of the sockets allow, unless the event loop is on time. A request whose time is over when it is read is refused unsent (503, expired). Log field readDelayMs.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -143,7 +143,8 @@
     requestId: request.id,
     method: request.method,
     bytes: () => encodeRequest(request, headerConventions, upstream.id, deadline - clock.now()),
-    maySend: () => stats.terms.mayStillSend(clock.now()) && !attempt.isHeld(),
+    maySend: () =>
+      clock.now() < deadline && stats.terms.mayStillSend(clock.now()) && !attempt.isHeld(),
     deadline,
     signal,
     idempotent,
--- a/src/gateway/caller-request.ts
+++ b/src/gateway/caller-request.ts
@@ -22,7 +22,10 @@
   /** End-to-end headers, names and values alternating. */
   readonly rawHeaders: readonly string[];
   readonly body: Buffer;
+  /** When it arrived, which may be before it was read. */
   readonly arrivedAt: Instant;
+  /** When its head was read. */
+  readonly readAt: Instant;
   /** When the caller stops waiting for an answer. */
   readonly deadline: Instant;
   /** How many upstreams may run it, if another gateway has passed it on; else undefined. */
@@ -44,7 +47,7 @@
 export const decodeRequest = (
   req: IncomingMessage,
   headerConventions: HeaderConventions,
-  read: Pick<CallerRequest, 'body' | 'arrivedAt' | 'relayedMaxRuns' | 'signal'>,
+  read: Pick<CallerRequest, 'body' | 'arrivedAt' | 'readAt' | 'relayedMaxRuns' | 'signal'>,
 ): CallerRequest => {
   const header = (name: string): string => {
     const value = req.headers[name];
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -125,14 +125,14 @@
 
   /** Reads a request's body, has the request served and writes the reply. */
   private read(connection: CallerConnection, exchange: CallerExchange): void {
-    const arrivedAt = this.context.clock.now();
     const { req } = exchange;
     const { socket } = req;
     const chunks: Buffer[] = [];
     let size = 0;
     const limits = this.service.limits() ?? INITIAL_LIMITS;
     const { memory, arrivals } = this.service;
-    arrivals.arrivalAt(socket);
+    const readAt = this.context.clock.now();
+    const arrivedAt = arrivals.arrivalAt(socket);
     const release = (): void => {
       memory.release(socket, size);
       size = 0;
@@ -167,6 +167,7 @@
       const request = decodeRequest(req, this.context.headerConventions, {
         body: Buffer.concat(chunks),
         arrivedAt,
+        readAt,
         relayedMaxRuns: this.service.relayedMaxRuns?.(req),
         signal: exchange.ended,
       });
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -79,8 +79,8 @@
 
   private async attemptUntilReply(): Promise<GatewayReply> {
     for (;;) {
-      const held = this.replyIfHeld();
-      if (held) return held;
+      const ended = this.replyIfHeld() ?? this.replyIfExpired();
+      if (ended) return ended;
       const relayed = await this.relayIfCut();
       if (relayed) return relayed;
       const placed = await this.scheduler.place(this.placementRequest(), this.request.id);
@@ -95,9 +95,9 @@
         case 'refused':
           return this.finalReply(placed.why, placed.retryAfter);
         case 'send': {
-          const ended = await this.attemptWithHedge(placed.stats, placed.why);
-          if (ended.reply) return ended.reply;
-          const refusal = this.replyAfterFailure(ended.outcome);
+          const result = await this.attemptWithHedge(placed.stats, placed.why);
+          if (result.reply) return result.reply;
+          const refusal = this.replyAfterFailure(result.outcome);
           if (refusal) return refusal;
         }
       }
@@ -136,6 +136,12 @@
     }
   }
 
+  /** Returns the reply to a request whose time is over, as it was read late. */
+  private replyIfExpired(): GatewayReply | undefined {
+    if (this.context.clock.now() < this.deadline) return undefined;
+    return this.finalReply('expired', this.scheduler.retryAfter(this.placementRequest()));
+  }
+
   /**
    * Passes the request on to another gateway if this one's path to the upstreams is cut; undefined
    * if it is to be sent from here. It is passed on once, and a request that was passed on to here is
--- a/src/gateway/request-log.ts
+++ b/src/gateway/request-log.ts
@@ -68,6 +68,7 @@
   }: EndedRequest): void {
     const took = this.clock.now() - request.arrivedAt;
     const late = took > route.latencyObjective;
+    const readDelay = request.readAt - request.arrivedAt;
     const status = reply.kind === 'answer' ? reply.head.status : 0;
     const fields = {
       request: request.id,
@@ -86,6 +87,7 @@
       upstreamsAgeMs: Math.round(upstreamsAge),
       idempotent: isIdempotent(route.kind),
       ...(late ? { late } : {}),
+      ...(readDelay > 0 ? { readDelayMs: Math.round(readDelay) } : {}),
     };
     const isRoutine =
       reply.kind === 'answer' &&
--- a/test/gateway/crash-exchange.test.ts
+++ b/test/gateway/crash-exchange.test.ts
@@ -26,6 +26,7 @@
   rawHeaders: ['X-Redwingmount-Request-Id', id],
   body: Buffer.alloc(0),
   arrivedAt: 0,
+  readAt: 0,
   deadline: 1000,
   signal: new AbortController().signal,
 });
--- a/test/gateway/peer-relay.test.ts
+++ b/test/gateway/peer-relay.test.ts
@@ -69,6 +69,7 @@
       rawHeaders: ['Host', 'shop.example'],
       body: Buffer.alloc(0),
       arrivedAt: systemClock.now(),
+      readAt: systemClock.now(),
       deadline,
       signal,
     };
