Route a relayed request by no configuration before the sender's

What callers saw: on a host cut off from the upstreams a route that had moved was served by its former service again, and an added one was refused.

Cause: a gateway without a path to the upstreams passes the request on as it came, and the peer routes it by the configuration that it has. A version reaches hosts up to its apply time apart. The class: a decision that two hosts take, each by its own version.

Change: the request names the version that has routed it. A peer that is behind refuses (config-behind) and reads the configuration, and the next peer is offered it; a peer that is ahead routes by its own and says so in its reply, upon which the sender reads. Earlier builds know neither header; they are offered the request once the version has been in force for its apply time.

--- a/src/gateway/caller-request.ts
+++ b/src/gateway/caller-request.ts
@@ -4,7 +4,7 @@
 import type { HeaderConventions } from '../ports';
 
 import { endToEndHeaders } from './headers';
-import { RELAY_HEADERS } from './relay-headers';
+import { RELAY_HEADERS, type RelayTerms } from './relay-headers';
 
 /** A token that a request holds; giving it back again has no effect. */
 export interface QuotaToken {
@@ -28,8 +28,8 @@
   readonly readAt: Instant;
   /** When the caller stops waiting for an answer. */
   readonly deadline: Instant;
-  /** How many upstreams may run it, if another gateway has passed it on; else undefined. */
-  readonly relayedMaxRuns?: number | undefined;
+  /** What another gateway says of it, if that has passed it on; else undefined. */
+  readonly relayTerms?: RelayTerms | undefined;
   /** The workspace in whose name it runs; undefined without workspaces or on a public route. */
   readonly workspace?: GatewayWorkspace | undefined;
   /** The caller's key, taken out of `rawHeaders`; a peer that gets the request looks at it again. */
@@ -47,7 +47,7 @@
 export const decodeRequest = (
   req: IncomingMessage,
   headerConventions: HeaderConventions,
-  read: Pick<CallerRequest, 'body' | 'arrivedAt' | 'readAt' | 'relayedMaxRuns' | 'signal'>,
+  read: Pick<CallerRequest, 'body' | 'arrivedAt' | 'readAt' | 'relayTerms' | 'signal'>,
 ): CallerRequest => {
   const header = (name: string): string => {
     const value = req.headers[name];
@@ -67,6 +67,7 @@
         headerConventions.remainingMs,
         headerConventions.targetUpstream,
         RELAY_HEADERS.maxRuns,
+        RELAY_HEADERS.routed,
       ]),
     ),
     deadline: read.arrivedAt + timeout,
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -9,6 +9,7 @@
 import { discardAnswer } from './gateway-reply';
 import type { MemoryGuard } from './memory-guard';
 import { decodeRequest, type CallerRequest } from './caller-request';
+import type { RelayTerms } from './relay-headers';
 import { writeError, writeRefusal, writeReply, type CallerReply } from './replies';
 
 /** Functions of the gateway that the caller server calls. */
@@ -22,8 +23,8 @@
   readonly arrivals: ArrivalTimes;
   /** Serves a request that has been read completely. */
   serve(request: CallerRequest): Promise<CallerReply>;
-  /** Returns how many upstreams may run a request that another gateway has passed on. */
-  relayedMaxRuns?(req: IncomingMessage): number | undefined;
+  /** Returns what another gateway says of a request that it has passed on; else undefined. */
+  relayTerms?(req: IncomingMessage): RelayTerms | undefined;
   /** Sets headers of this gateway's own on a response before the reply is written. */
   setHeaders?(res: ServerResponse, reply: CallerReply): void;
 }
@@ -168,7 +169,7 @@
         body: Buffer.concat(chunks),
         arrivedAt,
         readAt,
-        relayedMaxRuns: this.service.relayedMaxRuns?.(req),
+        relayTerms: this.service.relayTerms?.(req),
         signal: exchange.ended,
       });
       afterPendingReads(() => {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
 import {
   MILLIS_PER_SECOND,
   type GatewaySettings,
+  type Instant,
   type Millis,
   type ServiceName,
   type FeedPage,
@@ -90,6 +91,9 @@
   /** Routes of the configuration in force; undefined until one is known. */
   private routes: HostRoutes | undefined;
 
+  /** When the configuration in force is in force at all gateways that can be reached. */
+  private configEverywhereAt: Instant = Number.POSITIVE_INFINITY;
+
   private hostGroups: HostGroups | undefined;
 
   private readonly plannedStop: PlannedStop;
@@ -157,10 +161,17 @@
       lastRequestAt: () => this.callers.lastRequestAt,
     });
     this.callers = new CallerServer(context, callerService);
-    this.relayed = new RelayServer(context, callerService);
+    this.relayed = new RelayServer(context, callerService, () => this.routes?.config.version);
     [this.callers.server, this.feeds.server].forEach((server) => this.arrivals.watch(server));
     this.relay = new PeerRelay(context, {
       peersFor: (service) => this.fleet.relayPeersOf(service),
+      config: () => ({
+        version: this.routes?.config.version,
+        isEverywhere: clock.now() >= this.configEverywhereAt,
+      }),
+      onLaterConfig: () => {
+        void this.feeds.readConfigNow();
+      },
       onAnswerHead: (upstream, head) => announcements.read(upstream, head),
     });
     this.servers = [
@@ -192,6 +203,9 @@
     };
     this.router = new RequestRouter(requestContext, access, this.plannedStop, {
       routes: () => this.routes,
+      readConfig: () => {
+        void this.feeds.readConfigNow();
+      },
       schedulerOf: (service) => this.schedulers.of(service),
       upstreamsAge: () => this.feeds.upstreamsAge(),
     });
@@ -306,6 +320,8 @@
           const inForce = this.routes?.config.version ?? -1;
           if (config.version <= inForce) return;
           this.routes = new HostRoutes(config);
+          this.configEverywhereAt =
+            this.context.clock.now() + this.context.settings.bounds.configApplyTime;
           this.router.onRoutesChanged();
           this.recomputeHostGroups();
           this.callers.applyLimits();
--- a/src/gateway/peer-relay.ts
+++ b/src/gateway/peer-relay.ts
@@ -7,7 +7,12 @@
 import type { CallerRequest } from './caller-request';
 import { encodeRequest } from './forwarding';
 import { hasNotRun, type GatewayReply } from './gateway-reply';
-import { decodeAnsweringUpstream, RELAY_HEADERS, type AnsweringUpstream } from './relay-headers';
+import {
+  decodeAnsweringUpstream,
+  encodeRelayTerms,
+  RELAY_HEADERS,
+  type AnsweringUpstream,
+} from './relay-headers';
 import type { ExchangeResult } from './upstream-connection';
 
 /** Number of peers to which one request may be offered. */
@@ -21,6 +26,7 @@
 const PEER_REASONS: ReadonlySet<string> = new Set([
   'path-cut',
   'no-config',
+  'config-behind',
   'keys-stale',
   'stopping',
 ]);
@@ -61,6 +67,13 @@
 export interface PeerRelayPorts {
   /** Returns the peers to offer a request of a service to, the best first. */
   peersFor(service: ServiceName): readonly Member[];
+  /**
+   * Returns the version in force, undefined without one, and whether it has been in force for so
+   * long that all peers have it.
+   */
+  config(): { readonly version: number | undefined; readonly isEverywhere: boolean };
+  /** Called when a peer has a later configuration in force. */
+  onLaterConfig(): void;
   /** Receives the head of an answer that an upstream gave through a peer. */
   onAnswerHead(upstream: AnsweringUpstream, head: AnswerHead): void;
 }
@@ -131,7 +144,9 @@
     const { request, deadline, signal, idempotent, maxRuns } = relayed;
     const { clock, headerConventions } = this.context;
     const key = request.apiKey === undefined ? [] : [headerConventions.apiKey, request.apiKey];
-    const rawHeaders = [...request.rawHeaders, ...key, RELAY_HEADERS.maxRuns, String(maxRuns)];
+    const { version, isEverywhere } = this.ports.config();
+    const terms = encodeRelayTerms({ maxRuns, configVersion: version }, isEverywhere);
+    const rawHeaders = [...request.rawHeaders, ...key, ...terms];
     const target = {
       id: peer.incarnation,
       born: 0,
@@ -161,6 +176,9 @@
       return result.sent ? { kind: 'unknown', why: result.why } : { kind: 'declined' };
     }
     const { head, body } = result;
+    const { version = Number.POSITIVE_INFINITY } = this.ports.config();
+    if (Number(headerOf(head.rawHeaders, RELAY_HEADERS.configVersion) ?? -1) > version)
+      this.ports.onLaterConfig();
     const [outcome, why = ''] = (headerOf(head.rawHeaders, RELAY_HEADERS.outcome) ?? '').split(' ');
     switch (outcome) {
       case 'answer': {
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -59,7 +59,7 @@
   ) {
     this.idempotent = isIdempotent(route.kind);
     this.deadline = Math.min(request.deadline, request.arrivedAt + route.timeout);
-    this.maxRuns = Math.min(route.maxAttempts, request.relayedMaxRuns ?? route.maxAttempts);
+    this.maxRuns = Math.min(route.maxAttempts, request.relayTerms?.maxRuns ?? route.maxAttempts);
   }
 
   /** The priority of the request's workspace, or else of its route; 0 is the most urgent. */
@@ -150,7 +150,7 @@
   private async relayIfCut(): Promise<GatewayReply | undefined> {
     const { path, relay } = this.context;
     if (!path.isCut) return undefined;
-    if (this.request.relayedMaxRuns !== undefined) {
+    if (this.request.relayTerms) {
       return this.finalReply('path-cut', PATH_CUT_RETRY_AFTER_MS);
     }
     if (this.runs >= this.maxRuns) return undefined;
@@ -180,7 +180,7 @@
   private startRelayedHedge(purpose: RetryPurpose): RunningAttempt | undefined {
     const { relay, clock, retryBudgetSharers } = this.context;
     const { retryBudget, name } = this.scheduler;
-    if (this.request.relayedMaxRuns !== undefined) return undefined;
+    if (this.request.relayTerms) return undefined;
     if (!retryBudget.take(retryBudgetSharers(name), clock.now(), purpose, this.priority))
       return undefined;
     return startCancellable(this.request.signal, async (signal) => {
--- a/src/gateway/relay-server.ts
+++ b/src/gateway/relay-server.ts
@@ -2,18 +2,19 @@
 
 import { CallerServer, type CallerService } from './caller-server';
 import type { GatewayContext } from './context';
-import { encodeAnsweringUpstream, RELAY_HEADERS } from './relay-headers';
+import { decodeRelayTerms, encodeAnsweringUpstream, RELAY_HEADERS } from './relay-headers';
 import type { CallerReply } from './replies';
 
-const maxRunsOf = (req: IncomingMessage): number | undefined => {
-  const value = req.headers[RELAY_HEADERS.maxRuns];
-  return typeof value === 'string' && /^\d{1,3}$/.test(value) ? Number(value) : undefined;
-};
-
 /** Tells the gateway that passed a request on what has become of it. */
-const setRelayHeaders = (res: ServerResponse, reply: CallerReply): void => {
+const setRelayHeaders = (
+  res: ServerResponse,
+  reply: CallerReply,
+  configVersion: number | undefined,
+): void => {
   const why = 'why' in reply ? ` ${reply.why}` : '';
   res.setHeader(RELAY_HEADERS.outcome, `${reply.kind}${why}`);
+  if (configVersion !== undefined)
+    res.setHeader(RELAY_HEADERS.configVersion, String(configVersion));
   if (reply.kind === 'answer' && reply.upstream)
     res.setHeader(RELAY_HEADERS.upstream, encodeAnsweringUpstream(reply.upstream));
 };
@@ -22,15 +23,20 @@
 export class RelayServer {
   private readonly reader: CallerServer;
 
-  constructor(context: GatewayContext, service: CallerService) {
+  /** `configVersion` returns the version in force; undefined without one. */
+  constructor(
+    context: GatewayContext,
+    service: CallerService,
+    configVersion: () => number | undefined,
+  ) {
     this.reader = new CallerServer(context, {
       limits: () => service.limits(),
       isStopping: () => service.isStopping(),
       memory: service.memory,
       arrivals: service.arrivals,
       serve: (request) => service.serve(request),
-      relayedMaxRuns: maxRunsOf,
-      setHeaders: setRelayHeaders,
+      relayTerms: (req) => decodeRelayTerms(req.headers),
+      setHeaders: (res, reply) => setRelayHeaders(res, reply, configVersion()),
     });
   }
 
@@ -41,7 +47,7 @@
 
   /** Serves a request if a gateway has passed it on; returns whether it did. */
   onRequest(req: IncomingMessage, res: ServerResponse): boolean {
-    if (maxRunsOf(req) === undefined) return false;
+    if (!decodeRelayTerms(req.headers)) return false;
     this.reader.onRequest(req, res);
     return true;
   }
--- a/src/gateway/request-router.ts
+++ b/src/gateway/request-router.ts
@@ -17,11 +17,17 @@
 export interface RequestRouterPorts {
   /** Returns the routes in force; undefined until a configuration is known. */
   routes(): HostRoutes | undefined;
+  /** Reads the configuration at once. */
+  readConfig(): void;
   schedulerOf(service: ServiceName): ServiceScheduler;
   /** Returns the time in milliseconds since the last read of the upstreams; -1 before the first. */
   upstreamsAge(): Millis;
 }
 
+/** Whether another gateway has routed a request by a later configuration than the one here. */
+const isBehind = ({ relayTerms }: CallerRequest, { config }: HostRoutes): boolean =>
+  relayTerms?.configVersion !== undefined && relayTerms.configVersion > config.version;
+
 /** Decides whether a request is served, in whose name and by which service, and has it served. */
 export class RequestRouter {
   private readonly roundRobin = new WeightedRoundRobin();
@@ -43,6 +49,10 @@
     const { log } = this.context;
     const routes = this.ports.routes();
     if (!routes) return { kind: 'refused', why: 'no-config', retryAfter: NO_CONFIG_RETRY_AFTER_MS };
+    if (isBehind(received, routes)) {
+      this.ports.readConfig();
+      return { kind: 'refused', why: 'config-behind', retryAfter: NO_CONFIG_RETRY_AFTER_MS };
+    }
     const route = routes.find(received.host, received.target);
     if (!route) return { kind: 'no-route' };
     const refusal = this.plannedStop.refusal();
--- a/test/gateway/peer-relay.test.ts
+++ b/test/gateway/peer-relay.test.ts
@@ -6,7 +6,7 @@
 import { headerConventions, parseSettings } from '../../platform';
 import { systemClock } from '../../src/adapters';
 import { PeerRelay, type RelayResult } from '../../src/gateway/peer-relay';
-import { RELAY_HEADERS } from '../../src/gateway/relay-headers';
+import { decodeRelayTerms, RELAY_HEADERS } from '../../src/gateway/relay-headers';
 import type { Member } from '../../src/model';
 
 import { recordingTelemetry, settingsText } from './harness';
@@ -21,7 +21,7 @@
   res.writeHead(404).end();
 };
 const answers: RequestListener = (req, res) => {
-  const maxRuns = String(req.headers[RELAY_HEADERS.maxRuns]);
+  const maxRuns = String(decodeRelayTerms(req.headers)?.maxRuns);
   res.writeHead(200, { [RELAY_HEADERS.outcome]: 'answer' }).end(maxRuns);
 };
 
@@ -35,6 +35,7 @@
   const relay = async (
     peers: readonly RequestListener[],
     idempotent: boolean,
+    isEverywhere = true,
   ): Promise<RelayResult> => {
     const members: Member[] = [];
     for (const listener of peers) {
@@ -57,7 +58,12 @@
     const telemetry = recordingTelemetry();
     const peerRelay = new PeerRelay(
       { settings, clock: systemClock, telemetry, headerConventions, random: Math.random },
-      { peersFor: () => members, onAnswerHead: () => {} },
+      {
+        peersFor: () => members,
+        config: () => ({ version: 3, isEverywhere }),
+        onLaterConfig: () => {},
+        onAnswerHead: () => {},
+      },
     );
     const { signal } = new AbortController();
     const deadline = systemClock.now() + 1000;
@@ -114,6 +120,14 @@
     expect((await relay([breaksOff, breaksOff, answers], true)).kind).toEqual('unknown');
   });
 
+  /** Guards against an earlier build that routes by a configuration from before this one. */
+  it('offers nothing to an earlier build before all have the configuration', async () => {
+    const earlierBuild: RequestListener = (req, res) =>
+      (req.headers[RELAY_HEADERS.maxRuns] ? answers : isOfAnEarlierBuild)(req, res);
+    expect(bodyOf(await relay([earlierBuild], true, true))).toEqual('2');
+    expect(bodyOf(await relay([earlierBuild], true, false))).toEqual('replied');
+  });
+
   it('says that it is alone where no peer is known', async () => {
     expect((await relay([], true)).kind).toEqual('alone');
   });
