--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -314,6 +314,7 @@
       switch (record.kind) {
         case 'unusable':
           this.context.telemetry.event('config-refused', { detail: record.detail });
+          this.context.telemetry.count('configs_refused', { detail: record.detail });
           return;
         case 'config': {
           const { config } = record;
