Start the split of a route at a random step on each host

What callers saw: in a fleet the parts of a split got shares far from their weights after each new version.

Cause: the round robin of each host starts with the largest part, and started again with every version, so that all hosts are in phase. Fleets are large and versions come every two seconds, so that few requests at each are usual.

Change: a split starts at a step drawn over its period, and goes on where it is when a version leaves it as it was. One long sequence is as exact as before.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -323,7 +323,7 @@
           this.routes = new HostRoutes(config);
           this.configEverywhereAt =
             this.context.clock.now() + this.context.settings.bounds.configApplyTime;
-          this.router.onRoutesChanged();
+          this.router.onRoutesChanged(this.routes);
           this.recomputeHostGroups();
           this.callers.applyLimits();
           this.context.telemetry.event('config-in-force', {
--- a/src/gateway/request-router.ts
+++ b/src/gateway/request-router.ts
@@ -30,18 +30,20 @@
 
 /** Decides whether a request is served, in whose name and by which service, and has it served. */
 export class RequestRouter {
-  private readonly roundRobin = new WeightedRoundRobin();
+  private readonly roundRobin: WeightedRoundRobin;
 
   constructor(
     private readonly context: RequestContext,
     private readonly access: WorkspaceAccess,
     private readonly plannedStop: PlannedStop,
     private readonly ports: RequestRouterPorts,
-  ) {}
+  ) {
+    this.roundRobin = new WeightedRoundRobin(context.random);
+  }
 
   /** Takes in that other routes are in force. */
-  onRoutesChanged(): void {
-    this.roundRobin.clear();
+  onRoutesChanged({ config }: HostRoutes): void {
+    this.roundRobin.retain([...config.hosts.values()].flat());
   }
 
   /** Forwards a request by its route. */
--- a/test/core/gateway/gateway.test.ts
+++ b/test/core/gateway/gateway.test.ts
@@ -58,7 +58,7 @@
   });
 
   it('distribute requests to their targets by weight over any long sequence', () => {
-    const roundRobin = new WeightedRoundRobin();
+    const roundRobin = new WeightedRoundRobin(() => 0);
     const split = route('/', {
       targets: [
         { service: 'x', weight: 90 },
