Let a read at the store go on while its bytes arrive

A host on a slow or shared link would never read a large configuration.

Cause: a read had 800 ms in all, for every page of it together, and its timer ran before the sockets were polled, so that a busy host took an answer that had arrived for missing. The class is that of late reading.

Change: the deadline holds for the first bytes; later ones may be 800 ms apart, 4 s in all, and each page has its own time. A timer that fires looks once more after the sockets have been polled.

--- a/src/adapters/index.ts
+++ b/src/adapters/index.ts
@@ -13,3 +13,4 @@
 export { HttpPlatformLog, type PlatformLogOptions } from './platform-log-http';
 export { HttpHostList, type HostListOptions } from './host-list-http';
 export { exchangeJson, type ExchangeError, type JsonAnswer } from './json-http';
+export * from './progress-timeout';
--- a/src/ports/feed.ts
+++ b/src/ports/feed.ts
@@ -16,7 +16,10 @@
   /** The store's answer could not be decoded. */
   | { readonly kind: 'malformed'; readonly detail: string };
 
-/** An ordered sequence of changes that other processes write. */
+/**
+ * An ordered sequence of changes that other processes write. A read ends at its deadline unless the
+ * answer has begun and goes on.
+ */
 export interface Feed<T> {
   /** Reads the current state as a snapshot. */
   readSnapshot(deadline: Instant): Promise<Either<FeedFault, FeedPage<T>>>;
