Drop an upstream's entry that its later reports contradict

What callers saw: an upstream that works got no request for good, after one entry of another program under its id; nothing ended, and the list went on.

Cause: an entry with a start or a sequence too large outdates all true ones that follow, and one that says draining is never reverted. A belief that rests on one entry had no end.

Change: two ignored entries in succession, the second a later report of the first one's run, replace the one held if they can't be late writes: of another run, later than the one held, or more than 32 reports behind it. Late writes of a draining upstream are few reports behind and change nothing.

--- a/src/core/gateway/upstream-list.ts
+++ b/src/core/gateway/upstream-list.ts
@@ -27,6 +27,9 @@
   | { readonly kind: 'lapsed'; readonly id: UpstreamId; readonly until: Instant }
   | { readonly kind: 'left'; readonly upstream: GatewayUpstream };
 
+/** Number of reports by which a write that the store carries out late may be behind. */
+const MAX_LATE_REPORT_COUNT = 32;
+
 const isOutdated = (next: GatewayUpstream, known: GatewayUpstream): boolean => {
   if (next.born !== known.born) return next.born < known.born;
   if (known.state === 'draining' && next.state === 'ready') return true;
@@ -34,13 +37,24 @@
   return next.born !== UNKNOWN_START_UNIX_MS && next.reportSequence < known.reportSequence;
 };
 
+/**
+ * Whether an entry that is outdated by the one held can only have been written later, so that it
+ * speaks against the one held. Late writes of an upstream are few reports behind.
+ */
+const speaksAgainst = (next: GatewayUpstream, held: GatewayUpstream): boolean =>
+  next.born !== held.born ||
+  next.reportSequence > held.reportSequence ||
+  held.reportSequence - next.reportSequence > MAX_LATE_REPORT_COUNT;
+
 const listEventOf = (
   next: GatewayUpstream,
   known?: GatewayUpstream,
 ): UpstreamListEvent | undefined => {
   if (!known) return { kind: 'joined', upstream: next };
   if (next.born !== known.born) return { kind: 'reborn', upstream: next };
-  if (next.state !== known.state) return { kind: 'draining', upstream: next };
+  if (next.state !== known.state) {
+    return { kind: next.state === 'draining' ? 'draining' : 'moved', upstream: next };
+  }
   const isSame =
     next.service === known.service &&
     next.slots === known.slots &&
@@ -62,7 +76,9 @@
 /**
  * Holds the upstreams in service by id. An entry older than the one held is ignored: one of an
  * earlier run under the same id, an earlier report of the same run, or one that reverts draining to
- * ready.
+ * ready. Two ignored entries in succession, the second a later report of the first one's run, that
+ * can't be late replace the one held. Load pattern: one entry that another program wrote under the id
+ * of an upstream, which goes on to report.
  */
 export class UpstreamList {
   private readonly upstreams = new Map<UpstreamId, GatewayUpstream>();
@@ -70,6 +86,9 @@
   /** Times at which upstreams whose registration has lapsed are removed. */
   private readonly expiryById = new Map<UpstreamId, Instant>();
 
+  /** The last ignored entries that speak against those held. */
+  private readonly contradictions = new Map<UpstreamId, GatewayUpstream>();
+
   /** The last reports of upstreams that have left, the latest to leave last. */
   private readonly departed = new Map<UpstreamId, DepartedUpstream>();
 
@@ -118,7 +137,10 @@
       case 'put': {
         const { upstream } = change;
         const known = this.upstreams.get(upstream.id);
-        if (known && isOutdated(upstream, known)) return undefined;
+        if (known && isOutdated(upstream, known) && !this.isRefuted(known, upstream)) {
+          return undefined;
+        }
+        this.contradictions.delete(upstream.id);
         if (!known && this.hasLeftBefore(upstream)) return undefined;
         const wasLapsed = this.expiryById.delete(upstream.id);
         this.upstreams.set(upstream.id, upstream);
@@ -152,6 +174,14 @@
     return this.expiryById.size === 0 ? undefined : Math.min(...this.expiryById.values());
   }
 
+  /** Whether an entry and the one before it show that the one held is false. */
+  private isRefuted(held: GatewayUpstream, next: GatewayUpstream): boolean {
+    if (!speaksAgainst(next, held)) return false;
+    const before = this.contradictions.get(next.id);
+    this.contradictions.set(next.id, next);
+    return before?.born === next.born && before.reportSequence < next.reportSequence;
+  }
+
   private hasLeftBefore({ id, born, reportSequence }: GatewayUpstream): boolean {
     const departed = this.departed.get(id);
     if (departed?.born !== born) return false;
@@ -167,6 +197,7 @@
       return { kind: 'lapsed', id, until: keepUntil };
     }
     this.expiryById.delete(id);
+    this.contradictions.delete(id);
     this.upstreams.delete(id);
     const { born, reportSequence } = upstream;
     this.departed.delete(id);
