--- a/test/soak/gateways/faulted-fleet.ts
+++ b/test/soak/gateways/faulted-fleet.ts
@@ -242,6 +242,8 @@
         return undefined;
       case 'ask-pause':
         return askForPause(this.upstreams[fault.upstream], durationMs);
+      case 'odd-entry':
+        return this.upstreams[fault.upstream]?.misreport(fault.entry);
       case 'say-leaving':
         return sayLeaving(this.upstreams[fault.upstream]);
     }
--- a/test/soak/gateways/proxied-upstream.ts
+++ b/test/soak/gateways/proxied-upstream.ts
@@ -8,6 +8,7 @@
 } from '../../../standins/platform';
 import { entryOf } from '../../gateway/harness';
 
+import { oddEntryOf } from './odd-entries';
 import type { LinkFault } from './schedule';
 
 const UPSTREAM_TOPIC = 'keyed.servers';
@@ -15,6 +16,10 @@
 /** Time that an upstream takes for a request. */
 const SERVICE_TIME_MS = 20;
 
+/** Registrations that follow an odd entry, and the time between them in milliseconds. */
+const REPORT_COUNT = 3;
+const REPORT_GAP_MS = 300;
+
 /** Starts a fault proxy in front of a local port. */
 export const startProxyTo = (targetPort: number): Promise<FaultProxy> =>
   startFaultProxy({ port: 0, controlPort: 0, targetHost: '127.0.0.1', targetPort });
@@ -69,9 +74,22 @@
 
   register(state: 'ready' | 'draining'): void {
     this.sequence += 1;
+    this.store.put(UPSTREAM_TOPIC, this.upstream.id, this.entry(state));
+  }
+
+  /** Another program writes an odd entry under this id; the upstream goes on to register. */
+  async misreport(number: number): Promise<void> {
+    if (!this.isActive) return;
+    this.store.put(UPSTREAM_TOPIC, this.upstream.id, oddEntryOf(number, this.entry('ready')));
+    for (let i = 0; i < REPORT_COUNT; i++) {
+      await sleep(REPORT_GAP_MS);
+      if (this.isActive) this.register('ready');
+    }
+  }
+
+  private entry(state: 'ready' | 'draining'): object {
     const { born, sequence, proxy, upstream } = this;
-    const entry = entryOf({ ...upstream, port: proxy.port }, { state, born, sequence });
-    this.store.put(UPSTREAM_TOPIC, upstream.id, entry);
+    return entryOf({ ...upstream, port: proxy.port }, { state, born, sequence });
   }
 
   unregister(): void {
--- a/test/soak/gateways/schedule.ts
+++ b/test/soak/gateways/schedule.ts
@@ -4,6 +4,8 @@
 import type { LinkMode } from '../../../standins/fault-proxy';
 import type { StoreFaultMode, UpstreamFaultMode } from '../../../standins/platform';
 
+import { ODD_ENTRY_COUNT } from './odd-entries';
+
 /** A fault or a change of the fleet that is injected while callers send requests. */
 export type Fault =
   /** Signals a gateway's process; a killed or stopped process is started again afterwards. */
@@ -31,7 +33,9 @@
   /** An upstream sheds and asks for a pause. */
   | { readonly kind: 'ask-pause'; readonly upstream: number }
   /** An upstream says that it leaves, with its registration unchanged, and is started again. */
-  | { readonly kind: 'say-leaving'; readonly upstream: number };
+  | { readonly kind: 'say-leaving'; readonly upstream: number }
+  /** Another program writes an entry under the id of an upstream, which goes on to report. */
+  | { readonly kind: 'odd-entry'; readonly upstream: number; readonly entry: number };
 
 /** The fault of a link: `up` is the direction toward the target, `down` the one back. */
 export type LinkFault =
@@ -87,6 +91,7 @@
   'limit',
   'ask-pause',
   'say-leaving',
+  'odd-entry',
 ];
 /** Faults under which gateways may get updates from the store late. */
 const UPDATE_DELAYING_FAULTS: ReadonlySet<Fault['kind']> = new Set([
@@ -151,6 +156,8 @@
       case 'ask-pause':
       case 'say-leaving':
         return { kind, upstream };
+      case 'odd-entry':
+        return { kind, upstream, entry: upTo(ODD_ENTRY_COUNT - 1) };
       case 'limit':
         return { kind, upstream, perSecond: (1 + upTo(50)) / 10 };
       case 'store-copy':
