Take an upstream's answer that arrived in time and is read late

What callers saw: on a busy host 504 for a request whose answer lay unread in the socket, and the upstream was taken for one that hangs.

Cause: a timer that is due runs before the sockets are polled. The class is that of late reading: a time-out is decided on what has been read, not on what has arrived.

Change: a time-out that is due ends the exchange only if the sockets have been polled since and the exchange still runs.

--- a/src/gateway/upstream-connection.ts
+++ b/src/gateway/upstream-connection.ts
@@ -168,8 +168,17 @@
         this.fail(why);
         this.close();
       };
+      const isOver = (why: 'timeout' | 'connect-timeout'): boolean =>
+        this.running?.exchange !== exchange || (why === 'connect-timeout' && this.connected);
+      // Timers run before the sockets are polled, at which the answer may have arrived in time.
       const until = (deadline: Instant, why: 'timeout' | 'connect-timeout'): NodeJS.Timeout =>
-        setTimeout(() => giveUp(why), Math.max(0, deadline - this.clock.now()));
+        setTimeout(
+          () =>
+            setImmediate(() => {
+              if (!isOver(why)) giveUp(why);
+            }),
+          Math.max(0, deadline - this.clock.now()),
+        );
       const timer = until(exchange.deadline, 'timeout');
       const connectTimer = this.connected ? undefined : until(connectBy, 'connect-timeout');
       const onAbort = (): void => giveUp('cancelled');
--- a/test/gateway/connection-pool.test.ts
+++ b/test/gateway/connection-pool.test.ts
@@ -6,7 +6,10 @@
 import { ConnectionPool } from '../../src/gateway/connection-pool';
 import type { GatewayUpstream } from '../../src/model';
 
+import { block } from './callers-while-blocked';
+
 const ID_HEADER = 'x-request-id';
+const TIMEOUT_MS = 200;
 const clock = { now: () => performance.now(), wall: () => 0 };
 
 describe('the pool of connections to upstreams', () => {
@@ -106,4 +109,31 @@
     expect(requests).toEqual(0);
     pool.close();
   });
+
+  /** Guards against an answer that counts as missing, as a busy host hasn't read it yet. */
+  it('takes an answer that has arrived in time and is read late', async () => {
+    const upstream = createServer((_req, res) => {
+      res.end('ok');
+      block(2 * TIMEOUT_MS);
+    });
+    await new Promise<void>((resolve) => {
+      upstream.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = upstream.address() as AddressInfo;
+    const pool = new ConnectionPool(ID_HEADER, clock, () => {});
+    const target = { id: 'v', born: 1, endpoint: { address: '127.0.0.1', port } };
+    const result = await pool.run(target as GatewayUpstream, {
+      requestId: undefined,
+      method: 'GET',
+      bytes: () => Buffer.from('GET / HTTP/1.1\r\nhost: u\r\n\r\n'),
+      maySend: () => true,
+      deadline: clock.now() + TIMEOUT_MS,
+      signal: new AbortController().signal,
+      idempotent: true,
+    });
+    pool.close();
+    upstream.close();
+    upstream.closeAllConnections();
+    expect(result.kind).toEqual('answered');
+  });
 });
