Make large hosts owners before small ones

Cause: owners were drawn in proportion to capacity, and the small hosts together have more. Callers choose evenly among owners, so that a small one carries as much as a large one; a burst of 2.2 times the planned rate leaves it no time. Four hosts, all small, had every late reading.

Change: members with at least half of the largest capacity of the data centre come first; their order is as before, and the others follow where these are not enough. Fleets of equal hosts have the owners that they had.

--- a/src/core/gateway/owners.ts
+++ b/src/core/gateway/owners.ts
@@ -13,6 +13,9 @@
  */
 const PLANNED_UTILIZATION_RATIO = 0.5;
 
+/** Ratio of the largest capacity of a data centre from which a member counts as large. */
+const LARGE_CAPACITY_RATIO = 0.5;
+
 /** Number of values that `pairHash` can return. */
 const HASH_COUNT = 2 ** 32;
 
@@ -48,10 +51,24 @@
     .map(({ member }) => member);
 };
 
+/**
+ * Puts the members that have at least half of the largest capacity before the others, and changes
+ * nothing else in their order. Load pattern: a burst of several times the planned rate, which a
+ * small host among larger ones reads seconds late, while a larger one has most of its time left.
+ */
+const largeFirst = <M extends Pick<Member, 'capacity'>>(members: readonly M[]): readonly M[] => {
+  const capacityAt = ({ capacity = 1 }: M): number => capacity;
+  const large = LARGE_CAPACITY_RATIO * Math.max(...members.map(capacityAt));
+  return [
+    ...members.filter((member) => capacityAt(member) >= large),
+    ...members.filter((member) => capacityAt(member) < large),
+  ];
+};
+
 /**
  * Returns the owners of a host group: the alive members that its callers in one data centre are
- * sent to. They are the highest ranked by rendezvous hashing weighted by capacity, so that all
- * nodes select the same ones and few change when members do. There are at least two if possible,
+ * sent to. They are the highest ranked by rendezvous hashing weighted by capacity, large members
+ * first, so that all nodes select the same ones and few change when members do. There are at least two if possible,
  * and enough that each can carry an even part of the demand; members of unknown capacity can carry
  * any. If the data centre has no alive member, those of all data centres are ranked. Load pattern:
  * hosts of little capacity among larger ones, and one service that most callers use.
@@ -64,7 +81,7 @@
 ): readonly Member[] => {
   const alive = members.filter(({ state }) => state === 'alive');
   const near = alive.filter((member) => member.dataCentre === dataCentre);
-  const ranked = rankedFor(group, near.length > 0 ? near : alive);
+  const ranked = largeFirst(rankedFor(group, near.length > 0 ? near : alive));
   const isEnough = (count: number): boolean =>
     ranked
       .slice(0, count)
--- a/test/core/gateway/gateway.test.ts
+++ b/test/core/gateway/gateway.test.ts
@@ -229,6 +229,28 @@
     expect(ownersOf(hosts, 'a', 'shop.example', 1).length).toEqual(2);
   });
 
+  /** Guards against a small host that reads requests seconds late while large ones are idle. */
+  it('are the large hosts of a data centre, and small ones where these are not enough', () => {
+    const hosts = Array.from({ length: 24 }, (_, n) =>
+      member(2 * n, { capacity: n < 2 ? 450 : 83 }),
+    );
+    const capacities = (all: readonly Member[], demand: number): readonly (number | undefined)[] =>
+      ownersOf(all, 'a', 'shop.example', demand).map(({ capacity }) => capacity);
+    for (let i = 0; i < 50; i++) {
+      const owners = ownersOf(hosts, 'a', `h${i}.example`, 100);
+      expect(owners.map(({ capacity }) => capacity)).toEqual([450, 450]);
+    }
+    expect(capacities(hosts.slice(1), 100)).toEqual([450, 83]);
+    expect(capacities(hosts.slice(2), 100)).toEqual([83, 83]);
+    // Callers choose evenly among owners, so that a small one bounds the part of each.
+    expect(capacities(hosts, 1200).length).toEqual(15);
+    const alike = hosts.map((host) => ({ ...host, capacity: 83 }));
+    const named = hosts.map(({ capacity: _, ...host }) => host);
+    expect(ownersOf(alike, 'a', 'shop.example', 100).map(({ address }) => address)).toEqual(
+      ownersOf(named, 'a', 'shop.example', 0).map(({ address }) => address),
+    );
+  });
+
   it('have a capacity that their cores and links limit', () => {
     const unlimited = { cores: Infinity, megabitsPerSecond: Infinity };
     expect(capacityOf(unlimited)).toEqual(undefined);
