Serve one request in each turn of the event loop, connections first

Cause: a turn of the event loop serves all that it has read, and takes one connection. The longer the turns, the longer the queue, whose requests nobody knows of.

Change: requests that are read wait in one queue of the process and are served one in a turn, in order, none before the sockets have been polled again (as before), and none in turns that take a connection, for 15 turns in succession at most. A request that was read late may still wait for a slot as long as before; only its time limits run from its arrival.

--- a/src/gateway/arrival-times.ts
+++ b/src/gateway/arrival-times.ts
@@ -80,6 +80,11 @@
     return earliest;
   }
 
+  /** Number of connections that were taken from the queues of the watched servers. */
+  get takenCount(): number {
+    return [...this.acceptQueues.values()].reduce((sum, { taken }) => sum + taken, 0);
+  }
+
   close(): void {
     clearInterval(this.timer);
   }
@@ -114,12 +119,10 @@
   private emptyQueues(): void {
     if (this.isEmptyingQueues) return;
     this.isEmptyingQueues = true;
-    const takenCount = (): number =>
-      [...this.acceptQueues.values()].reduce((sum, { taken }) => sum + taken, 0);
     const record = (): void => {
-      const before = takenCount();
+      const before = this.takenCount;
       this.recordPoll(() => {
-        if (takenCount() === before) this.isEmptyingQueues = false;
+        if (this.takenCount === before) this.isEmptyingQueues = false;
         else record();
       });
     };
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -10,6 +10,7 @@
 import type { MemoryGuard } from './memory-guard';
 import { decodeRequest, type CallerRequest } from './caller-request';
 import type { RelayTerms } from './relay-headers';
+import type { ServingTurns } from './serving-turns';
 import { writeError, writeRefusal, writeReply, type CallerReply } from './replies';
 
 /** Functions of the gateway that the caller server calls. */
@@ -21,6 +22,8 @@
   readonly memory: MemoryGuard;
   /** Tells when requests arrived, at all servers of this gateway. */
   readonly arrivals: ArrivalTimes;
+  /** Serves the requests that are read, of all servers of this gateway, in turn. */
+  readonly turns: ServingTurns;
   /** Serves a request that has been read completely. */
   serve(request: CallerRequest): Promise<CallerReply>;
   /** Returns what another gateway says of a request that it has passed on; else undefined. */
@@ -48,14 +51,6 @@
   ['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout'],
 ]);
 
-/**
- * Calls `callback` once the event loop has polled its sockets again. Load pattern: a busy host reads
- * a request when its caller has already left; the disconnection is read after the request.
- */
-const afterPendingReads = (callback: () => void): void => {
-  setImmediate(() => setImmediate(callback));
-};
-
 /** HTTP server for callers: reads requests completely and writes the replies. */
 export class CallerServer {
   readonly server: http.Server;
@@ -172,11 +167,15 @@
         relayTerms: this.service.relayTerms?.(req),
         signal: exchange.ended,
       });
-      afterPendingReads(() => {
-        if (exchange.ended.aborted) this.logUndelivered(connection, request, { kind: 'nobody' });
+      this.service.turns.add(() => {
+        if (exchange.ended.aborted) {
+          this.logUndelivered(connection, request, { kind: 'nobody' });
+          return false;
+        }
         connection.serve(exchange, () => {
           void this.serve(connection, exchange, request, release);
         });
+        return true;
       });
     });
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -31,6 +31,7 @@
 import { RequestLog } from './request-log';
 import { RequestRouter } from './request-router';
 import { ServiceSchedulers } from './service-schedulers';
+import { ServingTurns } from './serving-turns';
 import { createDirectoryServer, createMetricsServer, createReadinessServer } from './small-servers';
 import { ConnectionPool } from './connection-pool';
 import { WorkspaceAccess } from './workspace-access';
@@ -154,6 +155,7 @@
       isStopping: () => this.plannedStop.isAskedFor,
       memory: new MemoryGuard(context),
       arrivals: this.arrivals,
+      turns: new ServingTurns(() => this.arrivals.takenCount),
       serve: (request) => this.router.serve(request),
     };
     this.plannedStop = new PlannedStop(context, {
--- a/src/gateway/placement-request.ts
+++ b/src/gateway/placement-request.ts
@@ -33,10 +33,12 @@
   context: GatewayContext,
   { request, route, balancer, priority, deadline, retryable, tried }: NextAttempt,
 ): QueueablePlacement => {
-  const { arrivedAt, signal, body, workspace } = request;
+  const { arrivedAt, readAt, signal, body, workspace } = request;
   const meanLatency = balancer.meanLatency(route.name);
   const now = context.clock.now();
-  const inObjective = arrivedAt + START_BY_OBJECTIVE_RATIO * route.latencyObjective - meanLatency;
+  // One that was read late may still wait; only its deadline binds.
+  const inObjective = readAt + START_BY_OBJECTIVE_RATIO * route.latencyObjective - meanLatency;
+  const mayWaitUntil = readAt + MIN_WAIT_OBJECTIVE_RATIO * route.latencyObjective;
   return {
     retryable,
     tried,
@@ -52,7 +54,7 @@
     priority,
     workspace: workspace?.name,
     arrivedAt: now,
-    startBy: Math.max(inObjective, arrivedAt + MIN_WAIT_OBJECTIVE_RATIO * route.latencyObjective),
+    startBy: Math.min(Math.max(inObjective, mayWaitUntil), deadline),
     signal,
     route: route.name,
   };
--- a/src/gateway/relay-server.ts
+++ b/src/gateway/relay-server.ts
@@ -34,6 +34,7 @@
       isStopping: () => service.isStopping(),
       memory: service.memory,
       arrivals: service.arrivals,
+      turns: service.turns,
       serve: (request) => service.serve(request),
       relayTerms: (req) => decodeRelayTerms(req.headers),
       setHeaders: (res, reply) => setRelayHeaders(res, reply, configVersion()),
--- a/test/gateway/caller-server-scene.ts
+++ b/test/gateway/caller-server-scene.ts
@@ -7,6 +7,7 @@
 import { CallerServer } from '../../src/gateway/caller-server';
 import type { CallerRequest } from '../../src/gateway/caller-request';
 import { MemoryGuard } from '../../src/gateway/memory-guard';
+import { ServingTurns } from '../../src/gateway/serving-turns';
 import type { CallerReply } from '../../src/gateway/replies';
 
 import { recordingTelemetry, settingsText } from './harness';
@@ -106,6 +107,7 @@
         isStopping: () => false,
         memory: this.memory,
         arrivals: this.arrivals,
+        turns: new ServingTurns(),
         serve: (request) => this.serve(request),
       },
     );
--- a/test/gateway/memory.test.ts
+++ b/test/gateway/memory.test.ts
@@ -4,6 +4,7 @@
 
 import { systemClock } from '../../src/adapters';
 import { headerConventions, parseSettings } from '../../platform';
+import { ServingTurns } from '../../src/gateway/serving-turns';
 import { ArrivalTimes } from '../../src/gateway/arrival-times';
 import { CallerServer } from '../../src/gateway/caller-server';
 import { MemoryGuard } from '../../src/gateway/memory-guard';
@@ -48,6 +49,7 @@
         limits: () => undefined,
         isStopping: () => false,
         memory,
+        turns: new ServingTurns(),
         arrivals: new ArrivalTimes({ clock: systemClock, telemetry }),
         serve: () => Promise.resolve({ kind: 'no-route' }),
       },
