Prove a reader's contact less often

Change: they are made when the last answer is 0.36 of the bound old, in place of 450 ms; contact ends at 0.6 as before.

--- a/src/gateway/feeds.ts
+++ b/src/gateway/feeds.ts
@@ -42,8 +42,8 @@
  * Load pattern: the store stops answering the readers alone, whose reads wait for seconds.
  */
 const CONTACT_RATIO = 0.6;
-/** Time in milliseconds since the last answer of the store after which a reader reads again. */
-const CONTACT_PROOF_MS: Millis = 450;
+/** The same after which a reader reads again to prove its contact. */
+const CONTACT_PROOF_RATIO = 0.36;
 /**
  * Time in milliseconds in which the waiting read should bring what a peer has already read; after
  * it the read is taken to hang.
@@ -228,7 +228,7 @@
 
   /** Reads at the store if its last answer is not recent. */
   private async proveContact(): Promise<void> {
-    if (this.contactAge < CONTACT_PROOF_MS) return;
+    if (this.contactAge < CONTACT_PROOF_RATIO * this.bound) return;
     this.proof ??= this.followers.upstreams.readNow().finally(() => {
       this.proof = undefined;
     });
