--- a/bench/messages.ts
+++ b/bench/messages.ts
@@ -1,6 +1,6 @@
 // Prints bytes, datagrams and staleness of the reports between the owners of one service, with
 // version 3 of the datagrams and with version 4, as a Markdown table. Options: --quick, --seed=N.
-import { encodeDatagram } from '../src/gateway/datagram';
+import { encodeDatagram } from '../src/gateway/peers/datagram';
 import { feedPositionOf } from '../src/model';
 
 import { ReportFleet, type ReportFigures } from './messages/report-fleet';
--- a/bench/messages/report-fleet.ts
+++ b/bench/messages/report-fleet.ts
@@ -6,10 +6,10 @@
 import { headerConventions, parseSettings } from '../../platform';
 import type { ServiceReport } from '../../src/core/evidence';
 import type { UpstreamStats } from '../../src/core/placement';
-import { decodeDatagram, encodeDatagram, type PeerTopic } from '../../src/gateway/datagram';
-import { EvidenceExchange } from '../../src/gateway/evidence-exchange';
-import type { PeerAddress } from '../../src/gateway/peer-link';
-import { ServiceScheduler } from '../../src/gateway/service-scheduler';
+import { decodeDatagram, encodeDatagram, type PeerTopic } from '../../src/gateway/peers/datagram';
+import { EvidenceExchange } from '../../src/gateway/peers/evidence-exchange';
+import type { PeerAddress } from '../../src/gateway/peers/peer-link';
+import { ServiceScheduler } from '../../src/gateway/scheduling/service-scheduler';
 import { feedPositionOf, type Member } from '../../src/model';
 import { settingsText } from '../../test/gateway/harness';
 
--- a/scripts/record-datagrams.ts
+++ b/scripts/record-datagrams.ts
@@ -1,6 +1,6 @@
 // Prints version-3 datagrams of this build, one line each as JSON of topic, body, positions and hex:
 //   npx tsx scripts/record-datagrams.ts > test/gateway/fixtures/datagrams-3.jsonl
-import { encodeDatagram, type Datagram } from '../src/gateway/datagram';
+import { encodeDatagram, type Datagram } from '../src/gateway/peers/datagram';
 import { feedPositionOf } from '../src/model';
 
 const VERSION = 3;
--- a/src/gateway/arrival-times.ts
+++ b/src/gateway/arriving/arrival-times.ts
@@ -1,10 +1,10 @@
 import type { Server } from 'node:http';
 import type { Socket } from 'node:net';
 
-import { PollTimes } from '../core/gateway';
-import type { Instant, Millis } from '../model';
+import { PollTimes } from '../../core/gateway';
+import type { Instant, Millis } from '../../model';
 
-import type { GatewayContext } from './context';
+import type { GatewayContext } from '../context';
 
 /** Interval in milliseconds at which the times of polls are recorded. */
 const POLL_RECORD_INTERVAL_MS: Millis = 25;
--- a/src/gateway/caller-connection.ts
+++ b/src/gateway/arriving/caller-connection.ts
@@ -1,8 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
-import type { Instant } from '../model';
-import type { Clock } from '../ports';
+import type { Instant } from '../../model';
+import type { Clock } from '../../ports';
 
 /** Number of requests of one connection that are served at the same time. */
 const MAX_SERVED_COUNT = 8;
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/arriving/caller-server.ts
@@ -1,15 +1,15 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
-import type { CallerLimits, Instant, Millis } from '../model';
+import type { CallerLimits, Instant, Millis } from '../../model';
 
 import type { ArrivalTimes } from './arrival-times';
 import { CallerConnection, CallerExchange } from './caller-connection';
-import type { GatewayContext } from './context';
-import { discardAnswer } from './gateway-reply';
+import type { GatewayContext } from '../context';
+import { discardAnswer } from '../sending/gateway-reply';
 import type { MemoryGuard } from './memory-guard';
-import { decodeRequest, type CallerRequest } from './caller-request';
-import type { RelayTerms } from './relay-headers';
+import { decodeRequest, type CallerRequest } from '../request/caller-request';
+import type { RelayTerms } from '../request/relay-headers';
 import type { ServingTurns } from './serving-turns';
 import { writeError, writeRefusal, writeReply, type CallerReply } from './replies';
 
--- /dev/null
+++ b/src/gateway/arriving/index.ts
@@ -0,0 +1,10 @@
+/** Callers' connections: reads requests, decides whether they may be served at all, and writes replies. */
+export * from './caller-server';
+export * from './caller-connection';
+export * from './arrival-times';
+export * from './serving-turns';
+export * from './memory-guard';
+export * from './workspace-access';
+export * from './planned-stop';
+export * from './replies';
+export * from './relay-server';
--- a/src/gateway/memory-guard.ts
+++ b/src/gateway/arriving/memory-guard.ts
@@ -1,10 +1,10 @@
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 
-import { bufferLimitOf, MemoryAccount } from '../core/memory';
-import type { Millis } from '../model';
+import { bufferLimitOf, MemoryAccount } from '../../core/memory';
+import type { Millis } from '../../model';
 
-import type { GatewayContext } from './context';
+import type { GatewayContext } from '../context';
 
 /**
  * Time in milliseconds for which reading may be paused without a body that becomes complete or an
--- a/src/gateway/planned-stop.ts
+++ b/src/gateway/arriving/planned-stop.ts
@@ -1,8 +1,8 @@
-import { stopScheduleOf, type StopSchedule } from '../core/gateway';
-import type { Instant, Millis } from '../model';
+import { stopScheduleOf, type StopSchedule } from '../../core/gateway';
+import type { Instant, Millis } from '../../model';
 
-import type { GatewayContext } from './context';
-import type { GatewayReply } from './gateway-reply';
+import type { GatewayContext } from '../context';
+import type { GatewayReply } from '../sending/gateway-reply';
 
 type Refusal = Extract<GatewayReply, { kind: 'refused' }>;
 
--- a/src/gateway/relay-server.ts
+++ b/src/gateway/arriving/relay-server.ts
@@ -1,8 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { CallerServer, type CallerService } from './caller-server';
-import type { GatewayContext } from './context';
-import { decodeRelayTerms, encodeAnsweringUpstream, RELAY_HEADERS } from './relay-headers';
+import type { GatewayContext } from '../context';
+import { decodeRelayTerms, encodeAnsweringUpstream, RELAY_HEADERS } from '../request/relay-headers';
 import type { CallerReply } from './replies';
 
 /** Tells the gateway that passed a request on what has become of it. */
--- a/src/gateway/replies.ts
+++ b/src/gateway/arriving/replies.ts
@@ -1,9 +1,9 @@
 import type { ServerResponse } from 'node:http';
 
-import { MILLIS_PER_SECOND, type Millis } from '../model';
+import { MILLIS_PER_SECOND, type Millis } from '../../model';
 
-import type { GatewayReply } from './gateway-reply';
-import { endToEndHeaders } from './headers';
+import type { GatewayReply } from '../sending/gateway-reply';
+import { endToEndHeaders } from '../request/headers';
 
 /** How a request is answered; `no-route` if no route matches, `unauthorized` if its key is unknown. */
 export type CallerReply = GatewayReply | { readonly kind: 'no-route' | 'unauthorized' };
--- a/src/gateway/workspace-access.ts
+++ b/src/gateway/arriving/workspace-access.ts
@@ -1,11 +1,11 @@
 import { createHash } from 'node:crypto';
 
-import type { LeasedToken } from '../core/quota';
-import type { GatewayConfig, GatewayRoute, GatewayWorkspace, Millis } from '../model';
+import type { LeasedToken } from '../../core/quota';
+import type { GatewayConfig, GatewayRoute, GatewayWorkspace, Millis } from '../../model';
 
-import type { GatewayContext } from './context';
-import type { CallerRequest } from './caller-request';
-import { withoutHeaders } from './headers';
+import type { GatewayContext } from '../context';
+import type { CallerRequest } from '../request/caller-request';
+import { withoutHeaders } from '../request/headers';
 
 /** Whether the keys known here may be relied on; `retryAfter` is in milliseconds. */
 export type KeyFreshnessResult =
--- a/src/gateway/attempt.ts
+++ b/src/gateway/deciding/attempt.ts
@@ -1,21 +1,21 @@
-import { verdictOf, type AttemptOutcome } from '../core/gateway';
-import type { CostFeatures } from '../core/cost';
-import type { EvidenceKind, UpstreamStats } from '../core/placement';
-import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../model';
+import { verdictOf, type AttemptOutcome } from '../../core/gateway';
+import type { CostFeatures } from '../../core/cost';
+import type { EvidenceKind, UpstreamStats } from '../../core/placement';
+import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../../model';
 
-import { headerOf } from './answer-parser';
-import type { GatewayContext } from './context';
-import { isBrokenOff, refusesConnections } from './crash-check';
-import type { CrashExchange } from './crash-exchange';
-import type { CallerRequest } from './caller-request';
-import { encodeRequest, outcomeOf } from './forwarding';
-import type { PathMonitor } from './path-monitor';
-import type { PeerRelay } from './peer-relay';
-import { digestOf } from './request-digest';
+import { headerOf } from '../sending/answer-parser';
+import type { GatewayContext } from '../context';
+import { isBrokenOff, refusesConnections } from '../sending/crash-check';
+import type { CrashExchange } from '../peers/crash-exchange';
+import type { CallerRequest } from '../request/caller-request';
+import { encodeRequest, outcomeOf } from '../sending/forwarding';
+import type { PathMonitor } from '../sending/path-monitor';
+import type { PeerRelay } from '../sending/peer-relay';
+import { digestOf } from '../request/request-digest';
 import type { RequestLog } from './request-log';
-import type { ServiceScheduler } from './service-scheduler';
-import type { ExchangeResult } from './upstream-connection';
-import type { ConnectionPool } from './connection-pool';
+import type { ServiceScheduler } from '../scheduling/service-scheduler';
+import type { ExchangeResult } from '../sending/upstream-connection';
+import type { ConnectionPool } from '../sending/connection-pool';
 
 /** Dependencies that all requests of a gateway share. */
 export interface RequestContext extends GatewayContext {
--- a/src/gateway/fallback-answer.ts
+++ b/src/gateway/deciding/fallback-answer.ts
@@ -1,7 +1,7 @@
-import type { AttemptOutcome } from '../core/gateway';
+import type { AttemptOutcome } from '../../core/gateway';
 
-import { NOT_RUN_STATUSES, UNFRAMED } from './forwarding';
-import { discardAnswer, type GatewayReply } from './gateway-reply';
+import { NOT_RUN_STATUSES, UNFRAMED } from '../sending/forwarding';
+import { discardAnswer, type GatewayReply } from '../sending/gateway-reply';
 
 type UpstreamAnswer = Extract<GatewayReply, { kind: 'answer' }>;
 
--- a/src/gateway/hedging.ts
+++ b/src/gateway/deciding/hedging.ts
@@ -1,10 +1,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { purposeOfHedge, type AttemptOutcome, type RetryPurpose } from '../core/gateway';
-import type { Millis } from '../model';
-import type { Clock } from '../ports';
+import { purposeOfHedge, type AttemptOutcome, type RetryPurpose } from '../../core/gateway';
+import type { Millis } from '../../model';
+import type { Clock } from '../../ports';
 
-import { discardAnswer, type GatewayReply } from './gateway-reply';
+import { discardAnswer, type GatewayReply } from '../sending/gateway-reply';
 
 /** Outcome of an attempt, and the reply to pass on if the attempt was successful. */
 export interface AttemptResult {
--- /dev/null
+++ b/src/gateway/deciding/index.ts
@@ -0,0 +1,8 @@
+/** What becomes of a request: its route, its attempts, hedges and reply. */
+export * from './request-router';
+export * from './proxied-request';
+export * from './placement-request';
+export * from './attempt';
+export * from './hedging';
+export * from './fallback-answer';
+export * from './request-log';
--- a/src/gateway/placement-request.ts
+++ b/src/gateway/deciding/placement-request.ts
@@ -1,10 +1,10 @@
-import type { LoadBalancer } from '../core/placement';
-import type { GatewayRoute, Instant } from '../model';
+import type { LoadBalancer } from '../../core/placement';
+import type { GatewayRoute, Instant } from '../../model';
 
 import { costFeaturesOf } from './attempt';
-import type { CallerRequest } from './caller-request';
-import { disabledIn, type GatewayContext } from './context';
-import type { QueueablePlacement } from './queued-placement';
+import type { CallerRequest } from '../request/caller-request';
+import { disabledIn, type GatewayContext } from '../context';
+import type { QueueablePlacement } from '../scheduling/queued-placement';
 
 /**
  * A request should start early enough to end within this ratio of the latency objective if it takes
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/deciding/proxied-request.ts
@@ -1,17 +1,17 @@
-import { nextStep, type AttemptOutcome, type RetryPurpose } from '../core/gateway';
-import type { UpstreamStats } from '../core/placement';
-import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../model';
+import { nextStep, type AttemptOutcome, type RetryPurpose } from '../../core/gateway';
+import type { UpstreamStats } from '../../core/placement';
+import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../../model';
 
-import { disabledIn } from './context';
+import { disabledIn } from '../context';
 import { runAttempt, type RequestContext } from './attempt';
-import type { CallerRequest } from './caller-request';
+import type { CallerRequest } from '../request/caller-request';
 import { FallbackAnswer } from './fallback-answer';
-import { hasNotRun, type GatewayReply } from './gateway-reply';
+import { hasNotRun, type GatewayReply } from '../sending/gateway-reply';
 import { endWithHedge, startCancellable, type AttemptResult, type RunningAttempt } from './hedging';
 import { placementRequestOf } from './placement-request';
-import type { QueueablePlacement } from './queued-placement';
-import { PATH_CUT_RETRY_AFTER_MS, type RelayedRequest } from './peer-relay';
-import type { ServiceScheduler } from './service-scheduler';
+import type { QueueablePlacement } from '../scheduling/queued-placement';
+import { PATH_CUT_RETRY_AFTER_MS, type RelayedRequest } from '../sending/peer-relay';
+import type { ServiceScheduler } from '../scheduling/service-scheduler';
 
 /** Minimum time left for another attempt, as a ratio of the mean latency of the route. */
 const MIN_ATTEMPT_LATENCY_RATIO = 0.6;
--- a/src/gateway/request-log.ts
+++ b/src/gateway/deciding/request-log.ts
@@ -1,10 +1,10 @@
-import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../model';
-import type { Clock, EventField, Telemetry } from '../ports';
+import { isIdempotent, type GatewayRoute, type Instant, type Millis } from '../../model';
+import type { Clock, EventField, Telemetry } from '../../ports';
 
-import type { GatewayReply } from './gateway-reply';
-import type { CallerRequest } from './caller-request';
-import type { ServiceScheduler } from './service-scheduler';
-import { keyDigestOf, type AccessRefusal } from './workspace-access';
+import type { GatewayReply } from '../sending/gateway-reply';
+import type { CallerRequest } from '../request/caller-request';
+import type { ServiceScheduler } from '../scheduling/service-scheduler';
+import { keyDigestOf, type AccessRefusal } from '../arriving/workspace-access';
 
 /** The attempts that a request has taken. */
 export interface AttemptSummary {
--- a/src/gateway/request-router.ts
+++ b/src/gateway/deciding/request-router.ts
@@ -1,14 +1,14 @@
-import { WeightedRoundRobin, type HostRoutes } from '../core/gateway';
-import type { Millis, ServiceName } from '../model';
+import { WeightedRoundRobin, type HostRoutes } from '../../core/gateway';
+import type { Millis, ServiceName } from '../../model';
 
 import type { RequestContext } from './attempt';
-import type { CallerRequest } from './caller-request';
-import { hasNotRun } from './gateway-reply';
-import type { PlannedStop } from './planned-stop';
+import type { CallerRequest } from '../request/caller-request';
+import { hasNotRun } from '../sending/gateway-reply';
+import type { PlannedStop } from '../arriving/planned-stop';
 import { ProxiedRequest } from './proxied-request';
-import type { CallerReply } from './replies';
-import type { ServiceScheduler } from './service-scheduler';
-import type { WorkspaceAccess } from './workspace-access';
+import type { CallerReply } from '../arriving/replies';
+import type { ServiceScheduler } from '../scheduling/service-scheduler';
+import type { WorkspaceAccess } from '../arriving/workspace-access';
 
 /** Retry-After in milliseconds while no configuration is known. */
 const NO_CONFIG_RETRY_AFTER_MS: Millis = 500;
--- a/src/gateway/feed-frames.ts
+++ b/src/gateway/feeds/feed-frames.ts
@@ -1,7 +1,7 @@
 /** Frames in which a reader sends the pages of the store's feeds to other gateways. */
 import { Packr } from 'msgpackr';
 
-import { isCount, isString, type KeyedRecord, type PositionedPage } from '../model';
+import { isCount, isString, type KeyedRecord, type PositionedPage } from '../../model';
 
 /** The feeds by their number in frames. */
 export const FEEDS = ['config', 'upstreams'] as const;
--- a/src/gateway/feed-relay.ts
+++ b/src/gateway/feeds/feed-relay.ts
@@ -1,8 +1,8 @@
 import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
-import { FeedHistory } from '../core/gateway';
-import type { Millis, PositionedPage } from '../model';
-import type { Telemetry } from '../ports';
+import { FeedHistory } from '../../core/gateway';
+import type { Millis, PositionedPage } from '../../model';
+import type { Telemetry } from '../../ports';
 
 import { encodeFeedFrame, FEEDS, type FeedName } from './feed-frames';
 
--- a/src/gateway/feed-subscription.ts
+++ b/src/gateway/feeds/feed-subscription.ts
@@ -1,12 +1,11 @@
 import http, { type ClientRequest } from 'node:http';
 
-import type { FeedSource } from '../core/gateway';
-import type { Incarnation, Member, Millis, PositionedPage } from '../model';
-import type { Telemetry } from '../ports';
+import type { FeedSource } from '../../core/gateway';
+import type { Incarnation, Member, Millis, PositionedPage, FeedPositions } from '../../model';
+import type { Telemetry } from '../../ports';
 
 import { FeedFrameDecoder, type FeedFrame, type FeedName } from './feed-frames';
 import { FEED_BEAT_INTERVAL_MS, FEED_STREAM_PATH } from './feed-relay';
-import type { FeedPositions } from './datagram';
 
 /** Time in milliseconds without a frame after which a reader is taken to have failed. */
 const SILENCE_TIMEOUT_MS: Millis = FEED_BEAT_INTERVAL_MS + 300;
--- a/src/gateway/feeds.ts
+++ b/src/gateway/feeds/feeds.ts
@@ -1,15 +1,22 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
-import { feedSourceOf } from '../core/gateway';
-import type { Incarnation, Member, Millis, FeedPage, KeyedRecord, PositionedPage } from '../model';
-import type { Feed } from '../ports';
+import { feedSourceOf } from '../../core/gateway';
+import type {
+  Incarnation,
+  Member,
+  Millis,
+  FeedPage,
+  KeyedRecord,
+  PositionedPage,
+  FeedPositions,
+} from '../../model';
+import type { Feed } from '../../ports';
 
-import type { GatewayContext } from './context';
+import type { GatewayContext } from '../context';
 import type { FeedName } from './feed-frames';
 import { FeedRelay } from './feed-relay';
 import { FeedSubscription } from './feed-subscription';
 import { Follower, type AppliedRead, type FollowerOptions, type ReadTiming } from './follower';
-import type { FeedPositions } from './datagram';
 
 /**
  * Bounds in milliseconds of the time that a long-poll read waits at the store for new items. A hung
--- a/src/gateway/follower.ts
+++ b/src/gateway/feeds/follower.ts
@@ -8,8 +8,8 @@
   type Instant,
   type Millis,
   type PositionedPage,
-} from '../model';
-import type { Clock, Feed, FeedFault, Telemetry } from '../ports';
+} from '../../model';
+import type { Clock, Feed, FeedFault, Telemetry } from '../../ports';
 
 /**
  * Time in milliseconds allowed for a read in addition to its wait; the store answers within a few
--- /dev/null
+++ b/src/gateway/feeds/index.ts
@@ -0,0 +1,7 @@
+/** The store's feeds: the configuration and the upstreams in service. */
+export * from './feeds';
+export * from './follower';
+export * from './feed-relay';
+export * from './feed-subscription';
+export * from './feed-frames';
+export * from './upstream-registry';
--- a/src/gateway/upstream-registry.ts
+++ b/src/gateway/feeds/upstream-registry.ts
@@ -3,19 +3,19 @@
   UpstreamList,
   type UpstreamChange,
   type UpstreamListEvent,
-} from '../core/gateway';
+} from '../../core/gateway';
 import {
   eraOf,
   type FeedPage,
   type GatewayUpstream,
   type Millis,
   type ServiceName,
-} from '../model';
+} from '../../model';
 
-import type { GatewayContext } from './context';
+import type { GatewayContext } from '../context';
 import type { ReadTiming } from './follower';
-import type { ServiceScheduler } from './service-scheduler';
-import type { ConnectionPool } from './connection-pool';
+import type { ServiceScheduler } from '../scheduling/service-scheduler';
+import type { ConnectionPool } from '../sending/connection-pool';
 
 /** Parts of the gateway that its upstream registry uses. */
 export interface UpstreamRegistryService {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,27 +14,23 @@
 } from '../model';
 import type { ConfigFeedItem, DirectoryCodec, Feed, ReadinessCodec, RecordDecoder } from '../ports';
 
-import { AnnouncementReader } from './announcements';
-import { ArrivalTimes } from './arrival-times';
-import type { RequestContext } from './attempt';
-import { CallerServer, type CallerService } from './caller-server';
 import { disabledIn, type GatewayContext } from './context';
-import { Feeds } from './feeds';
-import type { ReadTiming } from './follower';
-import { MemoryGuard } from './memory-guard';
-import { PathMonitor } from './path-monitor';
-import { PeerRelay } from './peer-relay';
-import { RelayServer } from './relay-server';
-import { Fleet } from './fleet';
-import { UpstreamRegistry } from './upstream-registry';
-import { PlannedStop } from './planned-stop';
-import { RequestLog } from './request-log';
-import { RequestRouter } from './request-router';
-import { ServiceSchedulers } from './service-schedulers';
-import { ServingTurns } from './serving-turns';
+import {
+  ArrivalTimes,
+  CallerServer,
+  type CallerService,
+  MemoryGuard,
+  PlannedStop,
+  RelayServer,
+  ServingTurns,
+  WorkspaceAccess,
+} from './arriving';
+import { type RequestContext, RequestLog, RequestRouter } from './deciding';
+import { Feeds, type ReadTiming, UpstreamRegistry } from './feeds';
+import { Fleet } from './peers';
+import { ServiceSchedulers } from './scheduling';
+import { AnnouncementReader, ConnectionPool, PathMonitor, PeerRelay } from './sending';
 import { createDirectoryServer, createMetricsServer, createReadinessServer } from './small-servers';
-import { ConnectionPool } from './connection-pool';
-import { WorkspaceAccess } from './workspace-access';
 
 /** Sources and codecs that a gateway is connected to. */
 export interface GatewayPorts {
--- a/src/gateway/compact-report.ts
+++ b/src/gateway/peers/compact-report.ts
@@ -10,9 +10,9 @@
   type ServiceReport,
   type UnservedPriority,
   type UpstreamReport,
-} from '../core/evidence';
-import type { LimitNews } from '../core/announcements';
-import { eraOf, feedPositionOf, MAX_FEED_ERA, offsetOf, type FeedPosition } from '../model';
+} from '../../core/evidence';
+import type { LimitNews } from '../../core/announcements';
+import { eraOf, feedPositionOf, MAX_FEED_ERA, offsetOf, type FeedPosition } from '../../model';
 
 import { ByteReader, ByteWriter } from './byte-codec';
 
--- a/src/gateway/crash-exchange.ts
+++ b/src/gateway/peers/crash-exchange.ts
@@ -4,10 +4,10 @@
   type RequestDigest,
   type RequestRecord,
   type RequestStanding,
-} from '../core/crashes';
-import type { Member, Millis } from '../model';
+} from '../../core/crashes';
+import type { Member, Millis } from '../../model';
 
-import type { GatewayContext } from './context';
+import type { GatewayContext } from '../context';
 import {
   createCrashMessages,
   decodeCrashMessage,
@@ -15,9 +15,9 @@
   type CrashMessage,
 } from './crash-message';
 import { DATAGRAM_VERSION } from './datagram';
-import type { CallerRequest } from './caller-request';
+import type { CallerRequest } from '../request/caller-request';
 import type { DatagramLink, PeerAddress } from './peer-link';
-import { digestOf } from './request-digest';
+import { digestOf } from '../request/request-digest';
 
 /** Interval in milliseconds at which records are repeated to peers, as datagrams may be lost. */
 const REPEAT_INTERVAL_MS: Millis = 1000;
--- a/src/gateway/crash-message.ts
+++ b/src/gateway/peers/crash-message.ts
@@ -1,5 +1,5 @@
 /** Encoding of what gateways tell each other of requests that crash upstreams. */
-import type { RequestDigest, RequestRecord } from '../core/crashes';
+import type { RequestDigest, RequestRecord } from '../../core/crashes';
 import {
   isArrayOf,
   isCount,
@@ -9,7 +9,7 @@
   type Instant,
   type Millis,
   type UpstreamId,
-} from '../model';
+} from '../../model';
 
 import type { PeerAddress } from './peer-link';
 
--- a/src/gateway/datagram.ts
+++ b/src/gateway/peers/datagram.ts
@@ -5,15 +5,12 @@
   packMembershipMessage,
   unpackMembershipMessage,
   type MembershipMessage,
-} from '../core/membership';
-import type { ServiceReport } from '../core/evidence';
-import { isObject, offsetOf, type FeedPosition } from '../model';
+} from '../../core/membership';
+import type { ServiceReport } from '../../core/evidence';
+import { isObject, offsetOf, type FeedPositions } from '../../model';
 
 import { COMPACT_START, decodeReport, encodeReport } from './compact-report';
 
-/** Positions up to which a gateway has read the two feeds; -1 before the first read. */
-export type FeedPositions = readonly [config: FeedPosition, upstreams: FeedPosition];
-
 /** Topics that have a number in the binary format. */
 type PackedTopic =
   'membership' | 'sightings' | 'beliefs' | 'crashes' | 'paths' | 'quotas' | 'freshness';
--- a/src/gateway/evidence-exchange.ts
+++ b/src/gateway/peers/evidence-exchange.ts
@@ -1,10 +1,10 @@
-import { fromLimitNews, type TermsChange } from '../core/announcements';
-import { PeerPriorities, type ServiceReport, type UpstreamReport } from '../core/evidence';
-import type { EvidenceKind, UpstreamStats } from '../core/placement';
-import type { Incarnation, Instant, Member, ServiceName, UpstreamId } from '../model';
+import { fromLimitNews, type TermsChange } from '../../core/announcements';
+import { PeerPriorities, type ServiceReport, type UpstreamReport } from '../../core/evidence';
+import type { EvidenceKind, UpstreamStats } from '../../core/placement';
+import type { Incarnation, Instant, Member, ServiceName, UpstreamId } from '../../model';
 
-import { logTermsChanges } from './announcements';
-import { disabledIn, type GatewayContext } from './context';
+import { logTermsChanges } from '../sending/announcements';
+import { disabledIn, type GatewayContext } from '../context';
 import { DATAGRAM_VERSION, readsReports } from './datagram';
 import { ReportSender } from './report-sender';
 import {
@@ -15,7 +15,7 @@
   type BeliefsMessage,
 } from './observations';
 import type { DatagramLink } from './peer-link';
-import type { ServiceScheduler } from './service-scheduler';
+import type { ServiceScheduler } from '../scheduling/service-scheduler';
 
 /** Functions of the fleet that the exchange calls. */
 interface EvidenceService {
--- a/src/gateway/fleet.ts
+++ b/src/gateway/peers/fleet.ts
@@ -1,10 +1,10 @@
 import { randomBytes } from 'node:crypto';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
-import { capacityOf, type HostGroups } from '../core/gateway';
-import type { ServiceReport } from '../core/evidence';
-import { decodeMembershipMessage, Membership, type MembershipEvent } from '../core/membership';
-import type { EvidenceKind, UpstreamStats } from '../core/placement';
+import { capacityOf, type HostGroups } from '../../core/gateway';
+import type { ServiceReport } from '../../core/evidence';
+import { decodeMembershipMessage, Membership, type MembershipEvent } from '../../core/membership';
+import type { EvidenceKind, UpstreamStats } from '../../core/placement';
 import type {
   DataCentre,
   GatewayConfig,
@@ -13,11 +13,12 @@
   Member,
   Millis,
   ServiceName,
-} from '../model';
+  FeedPositions,
+} from '../../model';
 
-import type { GatewayContext } from './context';
+import type { GatewayContext } from '../context';
 import { CrashExchange } from './crash-exchange';
-import { DATAGRAM_VERSION, type FeedPositions, type PeerTopic } from './datagram';
+import { DATAGRAM_VERSION, type PeerTopic } from './datagram';
 import { EvidenceExchange } from './evidence-exchange';
 import { FreshnessExchange } from './freshness-exchange';
 import type { FreshnessPorts } from './freshness-ports';
@@ -26,7 +27,7 @@
 import { DatagramLink } from './peer-link';
 import { QuotaExchange } from './quota-exchange';
 import { ServiceOwners } from './service-owners';
-import type { ServiceScheduler } from './service-scheduler';
+import type { ServiceScheduler } from '../scheduling/service-scheduler';
 
 /** Functions of the gateway that its fleet calls. */
 export interface FleetService extends Omit<FreshnessPorts, 'self' | 'members'> {
--- a/src/gateway/freshness-exchange.ts
+++ b/src/gateway/peers/freshness-exchange.ts
@@ -11,16 +11,16 @@
   type KeyProof,
   type ProofReply,
   type ProofState,
-} from '../core/freshness';
-import type { FeedPosition, Instant, Member, Millis } from '../model';
+} from '../../core/freshness';
+import type { FeedPosition, Instant, Member, Millis } from '../../model';
 
-import type { GatewayContext } from './context';
+import type { GatewayContext } from '../context';
 import { DATAGRAM_VERSION } from './datagram';
-import type { AppliedRead } from './follower';
+import type { AppliedRead } from '../feeds/follower';
 import { decodeFreshnessMessage, drawNonce, type FreshnessMessage } from './freshness-message';
 import type { DatagramLink } from './peer-link';
 import { systemTimers, type ExchangeTimers, type FreshnessPorts } from './freshness-ports';
-import type { KeyFreshness, KeyFreshnessResult } from './workspace-access';
+import type { KeyFreshness, KeyFreshnessResult } from '../arriving/workspace-access';
 
 /** Interval in milliseconds at which a round in progress is looked at. */
 const ROUND_TICK_MS: Millis = 10;
--- a/src/gateway/freshness-message.ts
+++ b/src/gateway/peers/freshness-message.ts
@@ -1,8 +1,8 @@
 /** Encoding of the questions and replies with which gateways prove their keys to each other. */
 import { isIP } from 'node:net';
 
-import type { ProofReply } from '../core/freshness';
-import { isCount, isFiniteNumber, isObject, isString } from '../model';
+import type { ProofReply } from '../../core/freshness';
+import { isCount, isFiniteNumber, isObject, isString } from '../../model';
 
 import type { PeerAddress } from './peer-link';
 
--- a/src/gateway/freshness-ports.ts
+++ b/src/gateway/peers/freshness-ports.ts
@@ -1,4 +1,4 @@
-import type { Incarnation, Member, Millis } from '../model';
+import type { Incarnation, Member, Millis } from '../../model';
 
 /** Timers that the exchange sets. */
 export interface ExchangeTimers {
--- a/src/gateway/limit-sharing.ts
+++ b/src/gateway/peers/limit-sharing.ts
@@ -1,7 +1,7 @@
-import { SendingHostHistory, type SendingHosts } from '../core/announcements';
-import type { Instant, Member, ServiceName } from '../model';
+import { SendingHostHistory, type SendingHosts } from '../../core/announcements';
+import type { Instant, Member, ServiceName } from '../../model';
 
-import type { GatewayContext } from './context';
+import type { GatewayContext } from '../context';
 
 /** Tells, for each service, the hosts that share the limits which its upstreams announce. */
 export class LimitSharing {
--- a/src/gateway/observations.ts
+++ b/src/gateway/peers/observations.ts
@@ -1,10 +1,10 @@
-import { toLimitNews, type AnnouncedLimit, type LimitNews } from '../core/announcements';
+import { toLimitNews, type AnnouncedLimit, type LimitNews } from '../../core/announcements';
 import type {
   UpstreamBelief,
   EvidenceKind,
   UpstreamObservation,
   UpstreamStats,
-} from '../core/placement';
+} from '../../core/placement';
 import {
   isArrayOf,
   isCount,
@@ -15,8 +15,8 @@
   type Millis,
   type RequestsPerSecond,
   type ServiceName,
-} from '../model';
-import type { Clock } from '../ports';
+} from '../../model';
+import type { Clock } from '../../ports';
 
 import type { PeerAddress } from './peer-link';
 
--- a/src/gateway/path-exchange.ts
+++ b/src/gateway/peers/path-exchange.ts
@@ -5,9 +5,9 @@
   type Instant,
   type Member,
   type Millis,
-} from '../model';
+} from '../../model';
 
-import type { GatewayContext } from './context';
+import type { GatewayContext } from '../context';
 import type { DatagramLink } from './peer-link';
 
 /** Interval in milliseconds at which a gateway whose path is cut repeats it. */
--- a/src/gateway/peer-link.ts
+++ b/src/gateway/peers/peer-link.ts
@@ -1,9 +1,9 @@
 import dgram from 'node:dgram';
 
-import type { Endpoint, NodeIdentity } from '../model';
-import type { Telemetry } from '../ports';
+import type { Endpoint, NodeIdentity, FeedPositions } from '../../model';
+import type { Telemetry } from '../../ports';
 
-import { decodeDatagram, encodeDatagram, type FeedPositions, type PeerTopic } from './datagram';
+import { decodeDatagram, encodeDatagram, type PeerTopic } from './datagram';
 
 /** Functions that the link calls. */
 export interface PeerService {
--- a/src/gateway/quota-exchange.ts
+++ b/src/gateway/peers/quota-exchange.ts
@@ -4,7 +4,7 @@
   type LeasedToken,
   type QuotaEvent,
   type TokenDecision,
-} from '../core/quota';
+} from '../../core/quota';
 import type {
   GatewayConfig,
   GatewayWorkspace,
@@ -14,13 +14,13 @@
   Millis,
   WorkspaceName,
   WorkspaceQuota,
-} from '../model';
+} from '../../model';
 
-import type { GatewayContext } from './context';
+import type { GatewayContext } from '../context';
 import { DATAGRAM_VERSION } from './datagram';
 import type { DatagramLink } from './peer-link';
 import { decodeQuotaMessage, encodeQuotaMessage } from './quota-message';
-import type { QuotaDecision, QuotaGate } from './workspace-access';
+import type { QuotaDecision, QuotaGate } from '../arriving/workspace-access';
 
 /** Longest time in milliseconds that a request waits for a token, whatever its objective. */
 const MAX_TOKEN_WAIT_MS: Millis = 300;
--- a/src/gateway/quota-message.ts
+++ b/src/gateway/peers/quota-message.ts
@@ -6,8 +6,8 @@
   TokenGrant,
   TokenReturn,
   TokenRun,
-} from '../core/quota';
-import { isArrayOf, isCount, isFiniteNumber, isObject, isString, type Guard } from '../model';
+} from '../../core/quota';
+import { isArrayOf, isCount, isFiniteNumber, isObject, isString, type Guard } from '../../model';
 
 /** Outcomes of grants by their number on the wire. */
 const OUTCOMES: readonly GrantOutcome[] = ['full', 'short', 'elsewhere'];
--- a/src/gateway/report-sender.ts
+++ b/src/gateway/peers/report-sender.ts
@@ -4,14 +4,14 @@
   ServiceReporter,
   type UnservedPriority,
   type UpstreamReport,
-} from '../core/evidence';
-import type { EvidenceKind, UpstreamStats } from '../core/placement';
-import type { Incarnation, Instant, Member, Millis, ServiceName } from '../model';
+} from '../../core/evidence';
+import type { EvidenceKind, UpstreamStats } from '../../core/placement';
+import type { Incarnation, Instant, Member, Millis, ServiceName } from '../../model';
 
-import type { GatewayContext } from './context';
+import type { GatewayContext } from '../context';
 import { readsReports } from './datagram';
 import type { DatagramLink } from './peer-link';
-import type { ServiceScheduler } from './service-scheduler';
+import type { ServiceScheduler } from '../scheduling/service-scheduler';
 
 /** Ticks between two reports of good responses to owners in other data centres: 1,000 ms. */
 const FAR_REPORT_TICK_COUNT = 4;
--- a/src/gateway/service-owners.ts
+++ b/src/gateway/peers/service-owners.ts
@@ -1,7 +1,7 @@
-import { ownersOf, type HostGroup, type HostGroups } from '../core/gateway';
-import type { DataCentre, Incarnation, Member, ServiceName } from '../model';
+import { ownersOf, type HostGroup, type HostGroups } from '../../core/gateway';
+import type { DataCentre, Incarnation, Member, ServiceName } from '../../model';
 
-import type { GatewayContext } from './context';
+import type { GatewayContext } from '../context';
 
 /** What the owners are determined from, besides the members. */
 export interface ServiceOwnersPorts {
--- a/src/gateway/caller-request.ts
+++ b/src/gateway/request/caller-request.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
-import type { GatewayWorkspace, Instant, Millis } from '../model';
-import type { HeaderConventions } from '../ports';
+import type { GatewayWorkspace, Instant, Millis } from '../../model';
+import type { HeaderConventions } from '../../ports';
 
 import { endToEndHeaders } from './headers';
 import { RELAY_HEADERS, type RelayTerms } from './relay-headers';
--- a/src/gateway/relay-headers.ts
+++ b/src/gateway/request/relay-headers.ts
@@ -1,6 +1,6 @@
 import type { IncomingHttpHeaders } from 'node:http';
 
-import type { GatewayUpstream } from '../model';
+import type { GatewayUpstream } from '../../model';
 
 /**
  * Headers between gateways, in lower case. A gateway whose path to the upstreams is cut passes a
--- a/src/gateway/request-digest.ts
+++ b/src/gateway/request/request-digest.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 
-import type { RequestDigest } from '../core/crashes';
+import type { RequestDigest } from '../../core/crashes';
 
 import type { CallerRequest } from './caller-request';
 
--- a/src/gateway/queued-placement.ts
+++ b/src/gateway/scheduling/queued-placement.ts
@@ -1,6 +1,6 @@
-import type { Placement, PlacementRequest } from '../core/placement';
-import type { QueuedRequest } from '../core/waiting';
-import type { Instant, Millis, WorkspaceName } from '../model';
+import type { Placement, PlacementRequest } from '../../core/placement';
+import type { QueuedRequest } from '../../core/waiting';
+import type { Instant, Millis, WorkspaceName } from '../../model';
 
 /** A request to be placed at an upstream, with what it needs to be queued. */
 export interface QueueablePlacement extends PlacementRequest, QueuedRequest {
--- a/src/gateway/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -1,12 +1,12 @@
-import { RefusedPriorities, serviceKeyOf, type UnservedPriority } from '../core/evidence';
-import { WindowedRetryBudget } from '../core/gateway';
+import { RefusedPriorities, serviceKeyOf, type UnservedPriority } from '../../core/evidence';
+import { WindowedRetryBudget } from '../../core/gateway';
 import {
   LoadBalancer,
   type Placement,
   type TermsSource,
   type UpstreamStats,
-} from '../core/placement';
-import { RequestQueue, type QueueDecision, type ServiceCapacity } from '../core/waiting';
+} from '../../core/placement';
+import { RequestQueue, type QueueDecision, type ServiceCapacity } from '../../core/waiting';
 import type {
   DisabledMechanisms,
   GatewayUpstream,
@@ -14,9 +14,9 @@
   Millis,
   ServiceName,
   UpstreamId,
-} from '../model';
+} from '../../model';
 
-import { disabledIn, type GatewayContext } from './context';
+import { disabledIn, type GatewayContext } from '../context';
 import { QueuedPlacement, type PlacementResult, type QueueablePlacement } from './queued-placement';
 
 /**
--- a/src/gateway/service-schedulers.ts
+++ b/src/gateway/scheduling/service-schedulers.ts
@@ -1,7 +1,7 @@
-import type { SendingHosts, UpstreamTerms } from '../core/announcements';
-import type { Endpoint, GatewayUpstream, Instant, ServiceName } from '../model';
+import type { SendingHosts, UpstreamTerms } from '../../core/announcements';
+import type { Endpoint, GatewayUpstream, Instant, ServiceName } from '../../model';
 
-import type { GatewayContext } from './context';
+import type { GatewayContext } from '../context';
 import { ServiceScheduler } from './service-scheduler';
 
 /** Functions that the schedulers call. */
--- a/src/gateway/announcements.ts
+++ b/src/gateway/sending/announcements.ts
@@ -1,9 +1,9 @@
-import type { TermsChange, TermsRegistry } from '../core/announcements';
-import type { GatewayUpstream } from '../model';
-import type { Telemetry } from '../ports';
+import type { TermsChange, TermsRegistry } from '../../core/announcements';
+import type { GatewayUpstream } from '../../model';
+import type { Telemetry } from '../../ports';
 
 import { headerOf, headersOf, type AnswerHead } from './answer-parser';
-import type { GatewayContext } from './context';
+import type { GatewayContext } from '../context';
 
 /** Status of an answer by another upstream than the one that was addressed. */
 const MISDIRECTED = 421;
--- a/src/gateway/connection-pool.ts
+++ b/src/gateway/sending/connection-pool.ts
@@ -1,6 +1,6 @@
-import { IdleConnectionLimit } from '../core/gateway';
-import type { GatewayUpstream, Instant, Millis } from '../model';
-import type { Clock } from '../ports';
+import { IdleConnectionLimit } from '../../core/gateway';
+import type { GatewayUpstream, Instant, Millis } from '../../model';
+import type { Clock } from '../../ports';
 
 import type { AnswerHead } from './answer-parser';
 import { UpstreamConnection, type Exchange, type ExchangeResult } from './upstream-connection';
--- a/src/gateway/crash-check.ts
+++ b/src/gateway/sending/crash-check.ts
@@ -1,6 +1,6 @@
 import net from 'node:net';
 
-import type { Endpoint, Millis } from '../model';
+import type { Endpoint, Millis } from '../../model';
 
 import type { ExchangeResult } from './upstream-connection';
 
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/sending/forwarding.ts
@@ -1,10 +1,10 @@
 /** Encodes requests to upstreams, and classifies the results. */
-import { STALE_CONNECTION, type AttemptOutcome } from '../core/gateway';
-import type { Millis, UpstreamId } from '../model';
-import type { HeaderConventions } from '../ports';
+import { STALE_CONNECTION, type AttemptOutcome } from '../../core/gateway';
+import type { Millis, UpstreamId } from '../../model';
+import type { HeaderConventions } from '../../ports';
 
 import { headerOf } from './answer-parser';
-import type { CallerRequest } from './caller-request';
+import type { CallerRequest } from '../request/caller-request';
 import type { ExchangeResult } from './upstream-connection';
 import { isStaleReset } from './connection-pool';
 
--- a/src/gateway/gateway-reply.ts
+++ b/src/gateway/sending/gateway-reply.ts
@@ -1,7 +1,7 @@
-import type { Millis } from '../model';
+import type { Millis } from '../../model';
 
 import type { AnswerHead } from './answer-parser';
-import type { AnsweringUpstream } from './relay-headers';
+import type { AnsweringUpstream } from '../request/relay-headers';
 import type { AnswerBody } from './upstream-connection';
 
 /** How the gateway replies to a caller. `kind` is the field `outcome` of log lines and metrics. */
--- /dev/null
+++ b/src/gateway/sending/index.ts
@@ -0,0 +1,10 @@
+/** Connections to upstreams, and to gateways that take requests over. */
+export * from './connection-pool';
+export * from './upstream-connection';
+export * from './answer-parser';
+export * from './forwarding';
+export * from './gateway-reply';
+export * from './announcements';
+export * from './crash-check';
+export * from './path-monitor';
+export * from './peer-relay';
--- a/src/gateway/path-monitor.ts
+++ b/src/gateway/sending/path-monitor.ts
@@ -1,9 +1,9 @@
 import net from 'node:net';
 
-import { PathState, type PathCheck } from '../core/path';
-import type { Endpoint, Instant, Millis } from '../model';
+import { PathState, type PathCheck } from '../../core/path';
+import type { Endpoint, Instant, Millis } from '../../model';
 
-import type { GatewayContext } from './context';
+import type { GatewayContext } from '../context';
 
 /** Time in milliseconds within which an upstream that can be reached takes a connection. */
 const CONNECT_TIMEOUT_MS: Millis = 200;
--- a/src/gateway/peer-relay.ts
+++ b/src/gateway/sending/peer-relay.ts
@@ -1,10 +1,10 @@
-import type { Instant, Member, Millis, ServiceName } from '../model';
-import { MILLIS_PER_SECOND } from '../model';
+import type { Instant, Member, Millis, ServiceName } from '../../model';
+import { MILLIS_PER_SECOND } from '../../model';
 
 import { headerOf, type AnswerHead } from './answer-parser';
 import { ConnectionPool, type ConnectionTarget } from './connection-pool';
-import type { GatewayContext } from './context';
-import type { CallerRequest } from './caller-request';
+import type { GatewayContext } from '../context';
+import type { CallerRequest } from '../request/caller-request';
 import { encodeRequest } from './forwarding';
 import { hasNotRun, type GatewayReply } from './gateway-reply';
 import {
@@ -12,7 +12,7 @@
   encodeRelayTerms,
   RELAY_HEADERS,
   type AnsweringUpstream,
-} from './relay-headers';
+} from '../request/relay-headers';
 import type { ExchangeResult } from './upstream-connection';
 
 /** Number of peers to which one request may be offered. */
--- a/src/gateway/upstream-connection.ts
+++ b/src/gateway/sending/upstream-connection.ts
@@ -1,8 +1,8 @@
 import net from 'node:net';
 import { PassThrough, type Readable } from 'node:stream';
 
-import type { Endpoint, Instant, Millis } from '../model';
-import type { Clock } from '../ports';
+import type { Endpoint, Instant, Millis } from '../../model';
+import type { Clock } from '../../ports';
 
 import { AnswerParser, headerOf, type AnswerHead } from './answer-parser';
 
--- a/src/model/feed.ts
+++ b/src/model/feed.ts
@@ -11,6 +11,9 @@
  */
 export type FeedPosition = number;
 
+/** Positions up to which a gateway has read the two feeds; -1 before the first read. */
+export type FeedPositions = readonly [config: FeedPosition, upstreams: FeedPosition];
+
 /** Number of offsets in an era; with `MAX_FEED_ERA` eras, positions are safe integers. */
 const OFFSETS_PER_ERA = 2 ** 36;
 /** The last era that positions can express. */
--- a/test/fakes/quota-fleet.ts
+++ b/test/fakes/quota-fleet.ts
@@ -9,8 +9,8 @@
   type QuotaMessage,
   type QuotaPeer,
 } from '../../src/core/quota';
-import { encodeDatagram } from '../../src/gateway/datagram';
-import { decodeQuotaMessage, encodeQuotaMessage } from '../../src/gateway/quota-message';
+import { encodeDatagram } from '../../src/gateway/peers/datagram';
+import { decodeQuotaMessage, encodeQuotaMessage } from '../../src/gateway/peers/quota-message';
 import type { GatewayBounds, Instant, Millis, WorkspaceQuota } from '../../src/model';
 
 import { QuotaTally } from './quota-tally';
--- a/test/gateway/answer-parser.test.ts
+++ b/test/gateway/answer-parser.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { describe, it } from 'node:test';
 
-import { AnswerParser, type AnswerHead } from '../../src/gateway/answer-parser';
+import { AnswerParser, type AnswerHead } from '../../src/gateway/sending/answer-parser';
 
 const SEED = 20261203;
 
--- a/test/gateway/broken-heads.test.ts
+++ b/test/gateway/broken-heads.test.ts
@@ -2,8 +2,8 @@
 import net, { type AddressInfo, type Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 
-import { ConnectionPool, type ConnectionTarget } from '../../src/gateway/connection-pool';
-import type { ExchangeResult } from '../../src/gateway/upstream-connection';
+import { ConnectionPool, type ConnectionTarget } from '../../src/gateway/sending/connection-pool';
+import type { ExchangeResult } from '../../src/gateway/sending/upstream-connection';
 
 import { GatewayHarness, routeOf } from './harness';
 
--- a/test/gateway/caller-server-scene.ts
+++ b/test/gateway/caller-server-scene.ts
@@ -3,12 +3,12 @@
 
 import { systemClock } from '../../src/adapters';
 import { headerConventions, parseSettings } from '../../platform';
-import { ArrivalTimes } from '../../src/gateway/arrival-times';
-import { CallerServer } from '../../src/gateway/caller-server';
-import type { CallerRequest } from '../../src/gateway/caller-request';
-import { MemoryGuard } from '../../src/gateway/memory-guard';
-import { ServingTurns } from '../../src/gateway/serving-turns';
-import type { CallerReply } from '../../src/gateway/replies';
+import { ArrivalTimes } from '../../src/gateway/arriving/arrival-times';
+import { CallerServer } from '../../src/gateway/arriving/caller-server';
+import type { CallerRequest } from '../../src/gateway/request/caller-request';
+import { MemoryGuard } from '../../src/gateway/arriving/memory-guard';
+import { ServingTurns } from '../../src/gateway/arriving/serving-turns';
+import type { CallerReply } from '../../src/gateway/arriving/replies';
 
 import { recordingTelemetry, settingsText } from './harness';
 
--- a/test/gateway/callers-leave.test.ts
+++ b/test/gateway/callers-leave.test.ts
@@ -4,8 +4,8 @@
 import { PassThrough } from 'node:stream';
 import { afterEach, describe, it } from 'node:test';
 
-import type { CallerRequest } from '../../src/gateway/caller-request';
-import type { CallerReply } from '../../src/gateway/replies';
+import type { CallerRequest } from '../../src/gateway/request/caller-request';
+import type { CallerReply } from '../../src/gateway/arriving/replies';
 
 import {
   answerOf,
--- a/test/gateway/compact-report.test.ts
+++ b/test/gateway/compact-report.test.ts
@@ -3,8 +3,8 @@
 import { describe, it } from 'node:test';
 
 import { FAILURE_KINDS, MAX_GOOD_COUNT, type UpstreamReport } from '../../src/core/evidence';
-import { decodeDatagram, encodeDatagram } from '../../src/gateway/datagram';
-import { splitReports } from '../../src/gateway/report-sender';
+import { decodeDatagram, encodeDatagram } from '../../src/gateway/peers/datagram';
+import { splitReports } from '../../src/gateway/peers/report-sender';
 import { feedPositionOf, MAX_FEED_ERA } from '../../src/model';
 
 const MAX_REPORT_DATAGRAM_BYTES = 1200;
--- a/test/gateway/connection-pool.test.ts
+++ b/test/gateway/connection-pool.test.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from 'node:net';
 import { after, before, describe, it } from 'node:test';
 
-import { ConnectionPool } from '../../src/gateway/connection-pool';
+import { ConnectionPool } from '../../src/gateway/sending/connection-pool';
 import type { GatewayUpstream } from '../../src/model';
 
 import { block } from './callers-while-blocked';
--- a/test/gateway/crash-exchange.test.ts
+++ b/test/gateway/crash-exchange.test.ts
@@ -4,9 +4,9 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
 import { headerConventions, parseSettings } from '../../platform';
-import { CrashExchange } from '../../src/gateway/crash-exchange';
-import { decodeCrashMessage } from '../../src/gateway/crash-message';
-import type { CallerRequest } from '../../src/gateway/caller-request';
+import { CrashExchange } from '../../src/gateway/peers/crash-exchange';
+import { decodeCrashMessage } from '../../src/gateway/peers/crash-message';
+import type { CallerRequest } from '../../src/gateway/request/caller-request';
 import type { Member } from '../../src/model';
 
 import { recordingTelemetry, settingsText } from './harness';
--- a/test/gateway/datagram-fixtures.test.ts
+++ b/test/gateway/datagram-fixtures.test.ts
@@ -3,9 +3,9 @@
 import { describe, it } from 'node:test';
 
 import { decodeMembershipMessage } from '../../src/core/membership';
-import { decodeCrashMessage } from '../../src/gateway/crash-message';
-import { decodeDatagram } from '../../src/gateway/datagram';
-import { decodeBeliefs, decodeObservations } from '../../src/gateway/observations';
+import { decodeCrashMessage } from '../../src/gateway/peers/crash-message';
+import { decodeDatagram } from '../../src/gateway/peers/datagram';
+import { decodeBeliefs, decodeObservations } from '../../src/gateway/peers/observations';
 
 /** A datagram of commit 6c04001, recorded by `scripts/record-datagrams.ts`. */
 interface Fixture {
--- a/test/gateway/datagram.test.ts
+++ b/test/gateway/datagram.test.ts
@@ -3,9 +3,9 @@
 import { describe, it } from 'node:test';
 
 import { decodeMembershipMessage, type MembershipMessage } from '../../src/core/membership';
-import { DATAGRAM_VERSION, decodeDatagram, encodeDatagram } from '../../src/gateway/datagram';
-import { createBeliefMessages, ObservationOutbox } from '../../src/gateway/observations';
-import { MAX_DATAGRAM_BYTES } from '../../src/gateway/peer-link';
+import { DATAGRAM_VERSION, decodeDatagram, encodeDatagram } from '../../src/gateway/peers/datagram';
+import { createBeliefMessages, ObservationOutbox } from '../../src/gateway/peers/observations';
+import { MAX_DATAGRAM_BYTES } from '../../src/gateway/peers/peer-link';
 import { feedPositionOf, type GatewayUpstream } from '../../src/model';
 import { UpstreamStats } from '../../src/core/placement';
 
--- a/test/gateway/endless-answers.test.ts
+++ b/test/gateway/endless-answers.test.ts
@@ -3,8 +3,8 @@
 import { after, afterEach, before, describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { ConnectionPool } from '../../src/gateway/connection-pool';
-import type { ExchangeResult } from '../../src/gateway/upstream-connection';
+import { ConnectionPool } from '../../src/gateway/sending/connection-pool';
+import type { ExchangeResult } from '../../src/gateway/sending/upstream-connection';
 import { startEndlessUpstream, type EndlessUpstream } from '../../standins/platform';
 
 import { GatewayHarness, routeOf } from './harness';
--- a/test/gateway/feed-subscription.test.ts
+++ b/test/gateway/feed-subscription.test.ts
@@ -5,8 +5,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { listen } from '../../src/adapters/listen';
-import { FeedRelay } from '../../src/gateway/feed-relay';
-import { FeedSubscription } from '../../src/gateway/feed-subscription';
+import { FeedRelay } from '../../src/gateway/feeds/feed-relay';
+import { FeedSubscription } from '../../src/gateway/feeds/feed-subscription';
 import type { Member } from '../../src/model';
 
 import { recordingTelemetry } from './harness';
--- a/test/gateway/feeds.test.ts
+++ b/test/gateway/feeds.test.ts
@@ -6,9 +6,9 @@
 import { feedReadersOf, feedSourceOf } from '../../src/core/gateway';
 import { systemClock } from '../../src/adapters/clock';
 import { listen } from '../../src/adapters/listen';
-import { encodeFeedFrame, FeedFrameDecoder } from '../../src/gateway/feed-frames';
-import { FeedRelay } from '../../src/gateway/feed-relay';
-import { Feeds } from '../../src/gateway/feeds';
+import { encodeFeedFrame, FeedFrameDecoder } from '../../src/gateway/feeds/feed-frames';
+import { FeedRelay } from '../../src/gateway/feeds/feed-relay';
+import { Feeds } from '../../src/gateway/feeds/feeds';
 import type { KeyedRecord, Member } from '../../src/model';
 import type { Feed } from '../../src/ports';
 import {
--- a/test/gateway/fleet.test.ts
+++ b/test/gateway/fleet.test.ts
@@ -4,8 +4,8 @@
 import { decodeConfig, headerConventions, parseSettings } from '../../platform';
 import { systemClock } from '../../src/adapters';
 import { HostGroups } from '../../src/core/gateway';
-import { Fleet } from '../../src/gateway/fleet';
-import { ServiceScheduler } from '../../src/gateway/service-scheduler';
+import { Fleet } from '../../src/gateway/peers/fleet';
+import { ServiceScheduler } from '../../src/gateway/scheduling/service-scheduler';
 import type { GatewayUpstream } from '../../src/model';
 
 import { configOf, freePorts, recordingTelemetry, routeOf, settingsText } from './harness';
--- a/test/gateway/follower.test.ts
+++ b/test/gateway/follower.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, describe, it } from 'node:test';
 import { Left, Right, type Either } from 'purify-ts';
 
-import { Follower, retryDelay } from '../../src/gateway/follower';
+import { Follower, retryDelay } from '../../src/gateway/feeds/follower';
 import { feedPositionOf, type FeedPage } from '../../src/model';
 import type { Feed, FeedFault } from '../../src/ports';
 
--- a/test/gateway/freshness-exchange.test.ts
+++ b/test/gateway/freshness-exchange.test.ts
@@ -3,8 +3,11 @@
 import { describe, it } from 'node:test';
 
 import { headerConventions, parseSettings } from '../../platform';
-import { FreshnessExchange } from '../../src/gateway/freshness-exchange';
-import { decodeFreshnessMessage, type FreshnessMessage } from '../../src/gateway/freshness-message';
+import { FreshnessExchange } from '../../src/gateway/peers/freshness-exchange';
+import {
+  decodeFreshnessMessage,
+  type FreshnessMessage,
+} from '../../src/gateway/peers/freshness-message';
 import type { Member } from '../../src/model';
 import { silentTelemetry } from '../fakes/telemetry';
 import { VirtualTime } from '../fakes/virtual-time';
--- a/test/gateway/key-revocation.test.ts
+++ b/test/gateway/key-revocation.test.ts
@@ -3,7 +3,7 @@
 import { after, before, describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { decodeDatagram } from '../../src/gateway/datagram';
+import { decodeDatagram } from '../../src/gateway/peers/datagram';
 import { startCuttableLink, type CuttableLink } from '../../standins/cuttable-link';
 import { startStore, type StoreStandIn } from '../../standins/platform';
 
--- a/test/gateway/late-reading.test.ts
+++ b/test/gateway/late-reading.test.ts
@@ -2,8 +2,8 @@
 import type { AddressInfo } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 
-import type { CallerRequest } from '../../src/gateway/caller-request';
-import type { CallerReply } from '../../src/gateway/replies';
+import type { CallerRequest } from '../../src/gateway/request/caller-request';
+import type { CallerReply } from '../../src/gateway/arriving/replies';
 
 import { CallerServerScene, idsOf, requestText } from './caller-server-scene';
 import { block, sendWhileBlocked } from './callers-while-blocked';
--- a/test/gateway/memory.test.ts
+++ b/test/gateway/memory.test.ts
@@ -4,10 +4,10 @@
 
 import { systemClock } from '../../src/adapters';
 import { headerConventions, parseSettings } from '../../platform';
-import { ServingTurns } from '../../src/gateway/serving-turns';
-import { ArrivalTimes } from '../../src/gateway/arrival-times';
-import { CallerServer } from '../../src/gateway/caller-server';
-import { MemoryGuard } from '../../src/gateway/memory-guard';
+import { ServingTurns } from '../../src/gateway/arriving/serving-turns';
+import { ArrivalTimes } from '../../src/gateway/arriving/arrival-times';
+import { CallerServer } from '../../src/gateway/arriving/caller-server';
+import { MemoryGuard } from '../../src/gateway/arriving/memory-guard';
 
 import { recordingTelemetry, settingsText } from './harness';
 
--- a/test/gateway/path-monitor.test.ts
+++ b/test/gateway/path-monitor.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, beforeEach, describe, it, mock } from 'node:test';
 
 import { headerConventions, parseSettings } from '../../platform';
-import { PathMonitor } from '../../src/gateway/path-monitor';
+import { PathMonitor } from '../../src/gateway/sending/path-monitor';
 import type { Endpoint } from '../../src/model';
 
 import { recordingTelemetry, settingsText } from './harness';
--- a/test/gateway/peer-link.test.ts
+++ b/test/gateway/peer-link.test.ts
@@ -2,7 +2,7 @@
 import dgram from 'node:dgram';
 import { describe, it } from 'node:test';
 
-import { DatagramLink } from '../../src/gateway/peer-link';
+import { DatagramLink } from '../../src/gateway/peers/peer-link';
 
 import { recordingTelemetry } from './harness';
 
--- a/test/gateway/peer-relay.test.ts
+++ b/test/gateway/peer-relay.test.ts
@@ -5,8 +5,8 @@
 
 import { headerConventions, parseSettings } from '../../platform';
 import { systemClock } from '../../src/adapters';
-import { PeerRelay, type RelayResult } from '../../src/gateway/peer-relay';
-import { decodeRelayTerms, RELAY_HEADERS } from '../../src/gateway/relay-headers';
+import { PeerRelay, type RelayResult } from '../../src/gateway/sending/peer-relay';
+import { decodeRelayTerms, RELAY_HEADERS } from '../../src/gateway/request/relay-headers';
 import type { Member } from '../../src/model';
 
 import { recordingTelemetry, settingsText } from './harness';
--- a/test/gateway/quota-message.test.ts
+++ b/test/gateway/quota-message.test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from 'node:test';
 
 import type { QuotaMessage } from '../../src/core/quota';
-import { decodeDatagram, encodeDatagram } from '../../src/gateway/datagram';
-import { decodeQuotaMessage, encodeQuotaMessage } from '../../src/gateway/quota-message';
+import { decodeDatagram, encodeDatagram } from '../../src/gateway/peers/datagram';
+import { decodeQuotaMessage, encodeQuotaMessage } from '../../src/gateway/peers/quota-message';
 
 const ASK: QuotaMessage = {
   kind: 'ask',
--- a/test/gateway/request-log.test.ts
+++ b/test/gateway/request-log.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl';
 import { describe, it } from 'node:test';
 
-import { RequestLog } from '../../src/gateway/request-log';
+import { RequestLog } from '../../src/gateway/deciding/request-log';
 
 import { recordingTelemetry } from './harness';
 
--- a/test/gateway/service-scheduler.test.ts
+++ b/test/gateway/service-scheduler.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'earl';
 import { describe, it } from 'node:test';
 
-import { ServiceScheduler } from '../../src/gateway/service-scheduler';
-import type { QueueablePlacement } from '../../src/gateway/queued-placement';
+import { ServiceScheduler } from '../../src/gateway/scheduling/service-scheduler';
+import type { QueueablePlacement } from '../../src/gateway/scheduling/queued-placement';
 import type { GatewayUpstream } from '../../src/model';
 import { headerConventions, parseSettings } from '../../platform';
 
--- a/test/gateway/serving-turns.test.ts
+++ b/test/gateway/serving-turns.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl';
 import { describe, it } from 'node:test';
 
-import { ServingTurns } from '../../src/gateway/serving-turns';
+import { ServingTurns } from '../../src/gateway/arriving/serving-turns';
 
 import { turns } from './caller-server-scene';
 
--- a/test/gateway/store-era-model.test.ts
+++ b/test/gateway/store-era-model.test.ts
@@ -5,7 +5,7 @@
 import { Left, Right, type Either } from 'purify-ts';
 
 import { UpstreamList, type UpstreamChange } from '../../src/core/gateway';
-import { Follower } from '../../src/gateway/follower';
+import { Follower } from '../../src/gateway/feeds/follower';
 import {
   eraOf,
   feedPositionOf,
--- a/test/scripts/import-cycles.test.ts
+++ b/test/scripts/import-cycles.test.ts
@@ -42,4 +42,20 @@
     const done = new Set<string>();
     expect(files.map((file) => findCycle(file, graph, done)).filter(Boolean)).toEqual([]);
   });
+
+  it('stand in folders of the gateway that import each other in no circle', () => {
+    const files = modules('src/gateway');
+    const folders = [...new Set(files.map(dirname))];
+    const graph = new Map(
+      folders.map((folder) => {
+        const imports = files.filter((file) => dirname(file) === folder).flatMap(importsOf);
+        const others = imports.map(dirname).filter((other) => other !== folder);
+        return [folder, others.filter((other) => folders.includes(other))];
+      }),
+    );
+    // The gateway's own folder has what all others import, and the module that builds them all.
+    graph.set(join('src', 'gateway'), []);
+    const done = new Set<string>();
+    expect(folders.map((folder) => findCycle(folder, graph, done)).filter(Boolean)).toEqual([]);
+  });
 });
--- a/test/soak/freshness/simulated-host.ts
+++ b/test/soak/freshness/simulated-host.ts
@@ -1,7 +1,10 @@
 import { headerConventions } from '../../../platform';
-import { FreshnessExchange } from '../../../src/gateway/freshness-exchange';
-import type { CallerRequest } from '../../../src/gateway/caller-request';
-import { WorkspaceAccess, type AccessDecision } from '../../../src/gateway/workspace-access';
+import { FreshnessExchange } from '../../../src/gateway/peers/freshness-exchange';
+import type { CallerRequest } from '../../../src/gateway/request/caller-request';
+import {
+  WorkspaceAccess,
+  type AccessDecision,
+} from '../../../src/gateway/arriving/workspace-access';
 import type { GatewayContext } from '../../../src/gateway';
 import type { GatewayConfig, GatewayRoute, GatewayWorkspace, Member } from '../../../src/model';
 import { silentTelemetry } from '../../fakes/telemetry';
