Split the follower, the upstream connection and the gateway

Change: ConfigInForce takes configurations and says which one holds, and since when all others have it; the types of exchanges, the options of a follower and the times of its reads stand apart. No behaviour changes.

--- a/src/gateway/deciding/attempt.ts
+++ b/src/gateway/deciding/attempt.ts
@@ -14,7 +14,7 @@
 import { digestOf } from '../request/request-digest';
 import type { RequestLog } from './request-log';
 import type { ServiceScheduler } from '../scheduling/service-scheduler';
-import type { ExchangeResult } from '../sending/upstream-connection';
+import type { ExchangeResult } from '../sending/exchange';
 import type { ConnectionPool } from '../sending/connection-pool';
 
 /** Dependencies that all requests of a gateway share. */
--- a/src/gateway/deciding/index.ts
+++ b/src/gateway/deciding/index.ts
@@ -1,4 +1,5 @@
 /** What becomes of a request: its route, its attempts, hedges and reply. */
+export * from './config-in-force';
 export * from './request-router';
 export * from './proxied-request';
 export * from './placement-request';
--- a/src/gateway/feeds/feeds.ts
+++ b/src/gateway/feeds/feeds.ts
@@ -16,7 +16,9 @@
 import type { FeedName } from './feed-frames';
 import { FeedRelay } from './feed-relay';
 import { FeedSubscription } from './feed-subscription';
-import { Follower, type AppliedRead, type FollowerOptions, type ReadTiming } from './follower';
+import { Follower } from './follower';
+import type { AppliedRead, FollowerOptions } from './follower-options';
+import type { ReadTiming } from './read-timing';
 
 /**
  * Bounds in milliseconds of the time that a long-poll read waits at the store for new items. A hung
--- a/src/gateway/feeds/follower.ts
+++ b/src/gateway/feeds/follower.ts
@@ -9,22 +9,18 @@
   type Millis,
   type PositionedPage,
 } from '../../model';
-import type { Clock, Feed, FeedFault, Telemetry } from '../../ports';
+import type { FeedFault } from '../../ports';
+
+import type { FollowerOptions } from './follower-options';
+import { NO_READS, retryDelay } from './read-timing';
 
 /**
  * Time in milliseconds allowed for a read in addition to its wait; the store answers within a few
  * ms.
  */
 const READ_TIMEOUT_MS: Millis = 800;
-/** Delay in milliseconds after the first failed read; doubles with each further one in a row. */
-const INITIAL_RETRY_DELAY_MS: Millis = 250;
-/**
- * Maximum delay in milliseconds between failed reads; half of the time within which changes must be
- * known after the store has returned.
- */
-const MAX_RETRY_DELAY_MS: Millis = 1000;
 /**
- * The same for a feed whose contact is urgent: time allowed for a read after a failed one, and the
+ * For a feed whose contact is urgent: time allowed for a read after a failed one, and the
  * time from its start until the next. A store that doesn't answer and then does is seen within their
  * sum.
  */
@@ -32,72 +28,6 @@
 const URGENT_RETRY_DELAY_MS: Millis = 250;
 /** Number of failed reads in a row from which `readNow` leaves it to the next retry. */
 const MAX_FAILURES_BEFORE_READ_NOW = 1;
-/**
- * Returns the delay before the next read after `failures` failed reads in a row (at least 1). It
- * grows because an overloaded store refuses all gateways, and a refusal costs it as much as an
- * answer.
- */
-export const retryDelay = (failures: number): Millis =>
-  Math.min(MAX_RETRY_DELAY_MS, INITIAL_RETRY_DELAY_MS * 2 ** (failures - 1));
-
-/** Times of the reads of a feed; -Infinity for one that has not taken place. */
-export interface ReadTiming {
-  /** When the latest successful read ended. */
-  readonly readAt: Instant;
-  /** When the successful read before it ended; its items are younger than that. */
-  readonly previousReadAt: Instant;
-  /** When the latest failed read started. The store may have been reachable again since then. */
-  readonly failedReadAt: Instant;
-  /** When the store last answered again after failed reads. */
-  readonly storeReturnedAt: Instant;
-}
-
-const NO_READS: ReadTiming = {
-  readAt: Number.NEGATIVE_INFINITY,
-  previousReadAt: Number.NEGATIVE_INFINITY,
-  failedReadAt: Number.NEGATIVE_INFINITY,
-  storeReturnedAt: Number.NEGATIVE_INFINITY,
-};
-
-/** A read that the store has answered with all records that it had, and whose page is applied. */
-export interface AppliedRead {
-  readonly position: FeedPosition;
-  readonly isEmpty: boolean;
-}
-
-/** What a follower reads, and how. */
-export interface FollowerOptions<T> {
-  /** The name of the feed in log lines and metrics. */
-  readonly name: string;
-  readonly feed: Feed<T>;
-  readonly clock: Clock;
-  readonly telemetry: Telemetry;
-  /** Returns the time for which the next read waits at the store for new items. */
-  longPoll(): Millis;
-  /** Whether new items are rare, so that no later one soon tells that the store's era has changed. */
-  readonly isQuiet: boolean;
-  /** Returns the pause after new items, which batches several changes into one read. */
-  batchPause(): Millis;
-  /**
-   * Returns the time within which what a peer has already read should arrive here; after it the
-   * read, or the reader that passes pages on, is taken to hang.
-   */
-  peerGrace(): Millis;
-  /** Called when the store's data are of a later era than before. */
-  onEra(era: number): void;
-  /** Receives each page that was read, without items that an earlier page had. */
-  onPage(page: PositionedPage<T>, timing: ReadTiming): void;
-  /** Called when the store answers again after failed reads. */
-  onRegained?(): void;
-  /** Whether failed reads are to be repeated soon, as much depends on contact with the store. */
-  isUrgent?(): boolean;
-  /**
-   * Called when a read at the store starts; the result is called once its page is applied. Pages
-   * of other gateways are no reads.
-   */
-  onReadStart?(wait: Millis): (read: AppliedRead) => void;
-}
-
 /**
  * Follows a feed of the store by long-poll reads, or takes the pages that another gateway has read.
  * A read may hang on a connection that no longer delivers bytes; the positions that peers report
--- a/src/gateway/feeds/upstream-registry.ts
+++ b/src/gateway/feeds/upstream-registry.ts
@@ -13,7 +13,7 @@
 } from '../../model';
 
 import type { GatewayContext } from '../context';
-import type { ReadTiming } from './follower';
+import type { ReadTiming } from './read-timing';
 import type { ServiceScheduler } from '../scheduling/service-scheduler';
 import type { ConnectionPool } from '../sending/connection-pool';
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,11 +2,10 @@
 
 import { listen } from '../adapters/listen';
 import { TermsRegistry } from '../core/announcements';
-import { HostGroups, HostRoutes, type UpstreamChange } from '../core/gateway';
+import { HostGroups, type HostRoutes, type UpstreamChange } from '../core/gateway';
 import {
   MILLIS_PER_SECOND,
   type GatewaySettings,
-  type Instant,
   type Millis,
   type ServiceName,
   type FeedPage,
@@ -25,7 +24,7 @@
   ServingTurns,
   WorkspaceAccess,
 } from './arriving';
-import { type RequestContext, RequestLog, RequestRouter } from './deciding';
+import { ConfigInForce, type RequestContext, RequestLog, RequestRouter } from './deciding';
 import { Feeds, type ReadTiming, UpstreamRegistry } from './feeds';
 import { Fleet } from './peers';
 import { ServiceSchedulers } from './scheduling';
@@ -85,11 +84,7 @@
 
   private readonly router: RequestRouter;
 
-  /** Routes of the configuration in force; undefined until one is known. */
-  private routes: HostRoutes | undefined;
-
-  /** When the configuration in force is in force at all gateways that can be reached. */
-  private configEverywhereAt: Instant = Number.POSITIVE_INFINITY;
+  private readonly inForce: ConfigInForce;
 
   private hostGroups: HostGroups | undefined;
 
@@ -106,6 +101,7 @@
       termsOf: (upstream) => this.terms.of(upstream),
       sendingHosts: (service, now) => this.fleet.limitSharing.hostsOf(service, now),
     });
+    this.inForce = new ConfigInForce(context, (routes) => this.onRoutes(routes));
     this.path = new PathMonitor(context, {
       endpoints: () => this.schedulers.readyEndpoints(),
       onChange: (isCut) => this.onPathChange(isCut),
@@ -119,7 +115,7 @@
       configFeed,
       upstreamFeed,
       onConfig: (page) => {
-        this.onConfig(page.items.flatMap(ports.decodeConfig));
+        this.inForce.apply(page.items.flatMap(ports.decodeConfig));
         this.fleet.freshness.onApplied(page.position);
       },
       maxProofWait: () => this.fleet.freshness.maxProofWait(),
@@ -137,7 +133,7 @@
       feedPositions: () => this.feeds.positions,
       onPeerPositions: (positions) => this.feeds.onPeerPositions(positions),
       onMembers: (self, members) => this.feeds.onMembers(self, members),
-      config: () => this.routes?.config,
+      config: () => this.inForce.routes?.config,
       hostGroups: () => this.hostGroups,
       schedulers: () => this.schedulers.byService,
       revocationTime: () => this.revocationTime(),
@@ -147,7 +143,7 @@
     });
     this.arrivals = new ArrivalTimes(context);
     const callerService: CallerService = {
-      limits: () => this.routes?.config.limits,
+      limits: () => this.inForce.routes?.config.limits,
       isStopping: () => this.plannedStop.isAskedFor,
       memory: new MemoryGuard(context),
       arrivals: this.arrivals,
@@ -159,14 +155,15 @@
       lastRequestAt: () => this.callers.lastRequestAt,
     });
     this.callers = new CallerServer(context, callerService);
-    this.relayed = new RelayServer(context, callerService, () => this.routes?.config.version);
+    this.relayed = new RelayServer(
+      context,
+      callerService,
+      () => this.inForce.routes?.config.version,
+    );
     [this.callers.server, this.feeds.server].forEach((server) => this.arrivals.watch(server));
     this.relay = new PeerRelay(context, {
       peersFor: (service) => this.fleet.relayPeersOf(service),
-      config: () => ({
-        version: this.routes?.config.version,
-        isEverywhere: clock.now() >= this.configEverywhereAt,
-      }),
+      config: () => this.inForce,
       onLaterConfig: () => {
         void this.feeds.readConfigNow();
       },
@@ -187,7 +184,12 @@
     ];
     this.metricsServer = createMetricsServer(() => ports.metrics());
     const { freshness, quotas } = this.fleet;
-    const access = new WorkspaceAccess(context, freshness, quotas, () => this.routes?.config);
+    const access = new WorkspaceAccess(
+      context,
+      freshness,
+      quotas,
+      () => this.inForce.routes?.config,
+    );
     const requestContext: RequestContext = {
       ...context,
       pool: this.pool,
@@ -200,7 +202,7 @@
         this.fleet.reportObservation(scheduler.name, ...sighting),
     };
     this.router = new RequestRouter(requestContext, access, this.plannedStop, {
-      routes: () => this.routes,
+      routes: () => this.inForce.routes,
       readConfig: () => {
         void this.feeds.readConfigNow();
       },
@@ -238,9 +240,10 @@
   private joinWhenReady(): void {
     if (this.plannedStop.isAskedFor || this.fleet.isJoined) return;
     const [, upstreamPosition] = this.feeds.positions;
-    if (!this.routes || upstreamPosition < 0) return;
+    const { version } = this.inForce;
+    if (version === undefined || upstreamPosition < 0) return;
     this.fleet.join();
-    this.context.telemetry.event('ready', { version: this.routes.config.version });
+    this.context.telemetry.event('ready', { version });
   }
 
   /** Applies reloaded settings; the context already holds them, `before` are the previous ones. */
@@ -306,46 +309,27 @@
     this.schedulers.abandonQueues();
   }
 
-  /** Puts a configuration in force if its version is higher than that of the current one. */
-  private onConfig(items: readonly ConfigFeedItem[]): void {
-    items.forEach((record) => {
-      switch (record.kind) {
-        case 'unusable':
-          this.context.telemetry.event('config-refused', { detail: record.detail });
-          this.context.telemetry.count('configs_refused', { detail: record.detail });
-          return;
-        case 'config': {
-          const { config } = record;
-          const inForce = this.routes?.config.version ?? -1;
-          if (config.version <= inForce) return;
-          this.routes = new HostRoutes(config);
-          this.configEverywhereAt =
-            this.context.clock.now() + this.context.settings.bounds.configApplyTime;
-          this.router.onRoutesChanged(this.routes);
-          this.recomputeHostGroups();
-          this.callers.applyLimits();
-          this.context.telemetry.event('config-in-force', {
-            version: config.version,
-            before: inForce,
-          });
-          this.joinWhenReady();
-        }
-      }
-    });
+  /** Takes in that other routes are in force. */
+  private onRoutes(routes: HostRoutes): void {
+    this.router.onRoutesChanged(routes);
+    this.recomputeHostGroups();
+    this.callers.applyLimits();
+    this.joinWhenReady();
   }
 
   /** Returns the key revocation time; undefined if no proof of the keys is needed. */
   private revocationTime(): Millis | undefined {
-    const hasWorkspaces = this.routes?.config.workspacesByKey !== undefined;
+    const hasWorkspaces = this.inForce.routes?.config.workspacesByKey !== undefined;
     return hasWorkspaces ? this.context.settings.bounds.keyRevocationTime : undefined;
   }
 
   /** Groups the hosts again after a change of the routes or upstreams, and updates the owners. */
   private recomputeHostGroups(): void {
-    if (!this.routes) return;
+    const { routes } = this.inForce;
+    if (!routes) return;
     const slotsOf = (service: ServiceName): number =>
       this.schedulers.byService.get(service)?.balancer.totalSlots ?? 0;
-    this.hostGroups = new HostGroups(this.routes.config, slotsOf);
+    this.hostGroups = new HostGroups(routes.config, slotsOf);
     this.fleet.recomputeOwners();
   }
 
--- a/src/gateway/peers/freshness-exchange.ts
+++ b/src/gateway/peers/freshness-exchange.ts
@@ -16,7 +16,7 @@
 
 import type { GatewayContext } from '../context';
 import { DATAGRAM_VERSION } from './datagram';
-import type { AppliedRead } from '../feeds/follower';
+import type { AppliedRead } from '../feeds/follower-options';
 import { decodeFreshnessMessage, drawNonce, type FreshnessMessage } from './freshness-message';
 import type { DatagramLink } from './peer-link';
 import { systemTimers, type ExchangeTimers, type FreshnessPorts } from './freshness-ports';
--- a/src/gateway/sending/connection-pool.ts
+++ b/src/gateway/sending/connection-pool.ts
@@ -3,7 +3,8 @@
 import type { Clock } from '../../ports';
 
 import type { AnswerHead } from './answer-parser';
-import { UpstreamConnection, type Exchange, type ExchangeResult } from './upstream-connection';
+import type { Exchange, ExchangeResult } from './exchange';
+import { UpstreamConnection } from './upstream-connection';
 
 /** Time-out in milliseconds to connect; a healthy upstream in the same region takes about 1 ms. */
 const CONNECT_TIMEOUT_MS: Millis = 200;
--- a/src/gateway/sending/crash-check.ts
+++ b/src/gateway/sending/crash-check.ts
@@ -2,7 +2,7 @@
 
 import type { Endpoint, Millis } from '../../model';
 
-import type { ExchangeResult } from './upstream-connection';
+import type { ExchangeResult } from './exchange';
 
 /** Time in milliseconds within which an upstream that has crashed refuses a connection. */
 const CRASH_CHECK_TIMEOUT_MS: Millis = 100;
--- a/src/gateway/sending/forwarding.ts
+++ b/src/gateway/sending/forwarding.ts
@@ -5,7 +5,7 @@
 
 import { headerOf } from './answer-parser';
 import type { CallerRequest } from '../request/caller-request';
-import type { ExchangeResult } from './upstream-connection';
+import type { ExchangeResult } from './exchange';
 import { isStaleReset } from './connection-pool';
 
 /**
--- a/src/gateway/sending/gateway-reply.ts
+++ b/src/gateway/sending/gateway-reply.ts
@@ -2,7 +2,7 @@
 
 import type { AnswerHead } from './answer-parser';
 import type { AnsweringUpstream } from '../request/relay-headers';
-import type { AnswerBody } from './upstream-connection';
+import type { AnswerBody } from './exchange';
 
 /** How the gateway replies to a caller. `kind` is the field `outcome` of log lines and metrics. */
 export type GatewayReply =
--- a/src/gateway/sending/index.ts
+++ b/src/gateway/sending/index.ts
@@ -1,6 +1,7 @@
 /** Connections to upstreams, and to gateways that take requests over. */
 export * from './connection-pool';
 export * from './upstream-connection';
+export * from './exchange';
 export * from './answer-parser';
 export * from './forwarding';
 export * from './gateway-reply';
--- a/src/gateway/sending/peer-relay.ts
+++ b/src/gateway/sending/peer-relay.ts
@@ -13,7 +13,7 @@
   RELAY_HEADERS,
   type AnsweringUpstream,
 } from '../request/relay-headers';
-import type { ExchangeResult } from './upstream-connection';
+import type { ExchangeResult } from './exchange';
 
 /** Number of peers to which one request may be offered. */
 const MAX_OFFER_COUNT = 3;
--- a/src/gateway/sending/upstream-connection.ts
+++ b/src/gateway/sending/upstream-connection.ts
@@ -1,58 +1,11 @@
 import net from 'node:net';
-import { PassThrough, type Readable } from 'node:stream';
+import { PassThrough } from 'node:stream';
 
 import type { Endpoint, Instant, Millis } from '../../model';
 import type { Clock } from '../../ports';
 
 import { AnswerParser, headerOf, type AnswerHead } from './answer-parser';
-
-/** The body of an answer: complete in memory, or a stream if it is large. */
-export type AnswerBody =
-  | { readonly kind: 'whole'; readonly bytes: Buffer }
-  | { readonly kind: 'stream'; readonly stream: Readable };
-
-/** Reason for which an exchange failed. */
-export type ExchangeFault =
-  | 'connect-failed'
-  | 'connect-timeout'
-  | 'reset'
-  | 'truncated'
-  | 'malformed'
-  | 'timeout'
-  | 'cancelled'
-  /** The upstream has announced that it wants no request while this one waited to be sent. */
-  | 'held-back';
-
-/** Result of an exchange. */
-export type ExchangeResult =
-  | {
-      readonly kind: 'answered';
-      readonly head: AnswerHead;
-      readonly body: AnswerBody;
-      /** Whether the connection was new, so that no earlier request can have been answered on it. */
-      readonly isFirst: boolean;
-    }
-  | {
-      readonly kind: 'failed';
-      readonly why: ExchangeFault;
-      /** Whether bytes of the request may have reached the upstream. */
-      readonly sent: boolean;
-      /** Time in milliseconds for which the connection had been idle; 0 if it was new. */
-      readonly idleFor: Millis;
-    };
-
-/** A request to an upstream. */
-export interface Exchange {
-  readonly requestId: string | undefined;
-  readonly method: string;
-  /** Encodes head and body; called once connected, as the head states the time that remains. */
-  readonly bytes: () => Buffer;
-  /** Whether the request may still be sent; asked once connected. */
-  readonly maySend: () => boolean;
-  /** When the exchange fails with `timeout`. */
-  readonly deadline: Instant;
-  readonly signal: AbortSignal;
-}
+import type { Exchange, ExchangeFault, ExchangeResult } from './exchange';
 
 /**
  * Maximum size in bytes of an answer that is held until complete, so that the request can be
--- a/test/gateway/broken-heads.test.ts
+++ b/test/gateway/broken-heads.test.ts
@@ -3,7 +3,7 @@
 import { afterEach, describe, it } from 'node:test';
 
 import { ConnectionPool, type ConnectionTarget } from '../../src/gateway/sending/connection-pool';
-import type { ExchangeResult } from '../../src/gateway/sending/upstream-connection';
+import type { ExchangeResult } from '../../src/gateway/sending/exchange';
 
 import { GatewayHarness, routeOf } from './harness';
 
--- a/test/gateway/endless-answers.test.ts
+++ b/test/gateway/endless-answers.test.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { ConnectionPool } from '../../src/gateway/sending/connection-pool';
-import type { ExchangeResult } from '../../src/gateway/sending/upstream-connection';
+import type { ExchangeResult } from '../../src/gateway/sending/exchange';
 import { startEndlessUpstream, type EndlessUpstream } from '../../standins/platform';
 
 import { GatewayHarness, routeOf } from './harness';
--- a/test/gateway/follower-proofs.test.ts
+++ b/test/gateway/follower-proofs.test.ts
@@ -3,7 +3,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Left, Right, type Either } from 'purify-ts';
 
-import { Follower, type AppliedRead } from '../../src/gateway/feeds/follower';
+import { Follower } from '../../src/gateway/feeds/follower';
+import type { AppliedRead } from '../../src/gateway/feeds/follower-options';
 import type { FeedPage } from '../../src/model';
 import type { FeedFault } from '../../src/ports';
 import { silentTelemetry } from '../fakes/telemetry';
--- a/test/gateway/follower.test.ts
+++ b/test/gateway/follower.test.ts
@@ -2,7 +2,8 @@
 import { afterEach, describe, it } from 'node:test';
 import { Left, Right, type Either } from 'purify-ts';
 
-import { Follower, retryDelay } from '../../src/gateway/feeds/follower';
+import { Follower } from '../../src/gateway/feeds/follower';
+import { retryDelay } from '../../src/gateway/feeds/read-timing';
 import { feedPositionOf, type FeedPage } from '../../src/model';
 import type { Feed, FeedFault } from '../../src/ports';
 
