Keep a reader whose frames lie unread on a busy host

What callers saw: nothing directly. A host that was busy for 0.8 s took its reader for silent, and read both feeds at the store; many hosts that are busy together would do so together.

Cause: the timer of the silence runs before the sockets are polled, at which the reader's frames are read. The class is that of late reading.

Evidence: feed-subscription.test.ts, the new case red before.

Change: a reader is silent if nothing is read of it in the turn of the event loop in which the timer is due, either.

--- a/src/gateway/feeds/feed-subscription.ts
+++ b/src/gateway/feeds/feed-subscription.ts
@@ -50,6 +50,9 @@
   /** Whether a frame has arrived on the connection. */
   private hasFrame = false;
 
+  /** Number of chunks that have arrived, on all connections. */
+  private chunkCount = 0;
+
   /** Readers that failed lately. */
   private readonly failed = new Set<Incarnation>();
 
@@ -103,7 +106,7 @@
     const connection: Connection = {
       reader,
       req,
-      timer: setTimeout(() => this.fail(connection, SILENT), SILENCE_TIMEOUT_MS),
+      timer: setTimeout(() => this.onSilence(connection), SILENCE_TIMEOUT_MS),
       decoder: new FeedFrameDecoder(),
     };
     this.connection = connection;
@@ -120,8 +123,18 @@
     req.on('error', (err) => this.fail(connection, err.message));
   }
 
+  /** Takes a reader for failed, unless it has sent what is only read now. */
+  private onSilence(connection: Connection): void {
+    const count = this.chunkCount;
+    // Timers run before the sockets are polled, and immediates after it.
+    setImmediate(() => {
+      if (this.chunkCount === count) this.fail(connection, SILENT);
+    });
+  }
+
   private onData(connection: Connection, chunk: Buffer): void {
     if (this.connection !== connection) return;
+    this.chunkCount += 1;
     connection.timer.refresh();
     const frames = connection.decoder.push(chunk);
     if (!frames?.every((frame) => this.onFrame(frame))) {
--- a/test/gateway/feed-subscription.test.ts
+++ b/test/gateway/feed-subscription.test.ts
@@ -9,18 +9,26 @@
 import { FeedSubscription } from '../../src/gateway/feeds/feed-subscription';
 import type { Member } from '../../src/model';
 
+import { block } from './callers-while-blocked';
 import { recordingTelemetry } from './harness';
 
+const RECORD = { key: 'u', value: Buffer.from('x') };
 const ADDRESS = '127.0.0.1';
 /** Time in milliseconds after which a lost reader must have been noticed. */
 const NOTICE_MS = 700;
+/** Longer than a reader may be silent. */
+const BUSY_MS = 1500;
 
 describe('the subscription to the feeds of another gateway', () => {
   const closers: (() => void)[] = [];
   afterEach(() => closers.splice(0).forEach((close) => close()));
 
   /** Starts a reader that has read one empty page of each feed. */
-  const startReader = async (): Promise<{ readonly reader: Member; readonly stop: () => void }> => {
+  const startReader = async (): Promise<{
+    readonly reader: Member;
+    readonly send: () => void;
+    readonly stop: () => void;
+  }> => {
     const relay = new FeedRelay(recordingTelemetry(), {
       isInContact: () => true,
       proveContact: () => Promise.resolve(),
@@ -40,7 +48,9 @@
       peerPort: port,
       state: 'alive',
     };
-    return { reader, stop: () => relay.close() };
+    const send = (): void =>
+      relay.publish('upstreams', { ...page, isSnapshot: false, position: 1, items: [RECORD] });
+    return { reader, send, stop: () => relay.close() };
   };
 
   const subscribe = (): {
@@ -88,6 +98,27 @@
     expect(calls).toEqual(['connected']);
   });
 
+  /** Guards against a busy host that takes its reader for silent before it reads its frames. */
+  it('keeps its reader after it was busy itself for longer than a silence', async () => {
+    const only = await startReader();
+    const { subscription, calls } = subscribe();
+    subscription.setSource({ kind: 'readers', readers: [only.reader] });
+    await until(() => calls.length === 1);
+    // The page is sent, and before the sockets are polled again this process is busy.
+    await new Promise<void>((resolve) => {
+      setImmediate(() => {
+        only.send();
+        process.nextTick(() => {
+          block(BUSY_MS);
+          resolve();
+        });
+      });
+    });
+    await sleep(NOTICE_MS);
+    expect(subscription.isConnected).toEqual(true);
+    expect(calls).toEqual(['connected']);
+  });
+
   it('has the gateway read at the store at once when no reader is left', async () => {
     const only = await startReader();
     const { subscription, calls } = subscribe();
