--- a/src/core/admission/admission.ts
+++ b/src/core/admission/admission.ts
@@ -10,7 +10,7 @@
 } from '../../model';
 
 import { randomUnit } from './random-unit';
-import { FairQueue } from './fair-queue';
+import { FairQueue } from '../waiting';
 import { ServiceTime } from './service-time';
 import { Slots } from './slots';
 import type { AdmissionEffect, AdmissionEvent, Offer, QueuedAttempt } from './types';
--- a/src/core/waiting/index.ts
+++ b/src/core/waiting/index.ts
@@ -1,3 +1,4 @@
+export * from './fair-queue';
 export * from './hold-back';
 export * from './minimum-shares';
 export * from './request-queue';
--- a/src/core/waiting/request-queue.ts
+++ b/src/core/waiting/request-queue.ts
@@ -1,7 +1,7 @@
 import type { Instant, Millis, WorkspaceName } from '../../model';
-import { FairQueue } from '../admission';
 
 import { ArrivalRates } from './arrival-rates';
+import { FairQueue } from './fair-queue';
 import { holdsBack } from './hold-back';
 import { MIN_SHARE_RATIO, MinimumShares, type ShareGroups } from './minimum-shares';
 import { Refusals } from './refusals';
