Say what the arrival of a request is taken for

Cause: read as a newcomer, the comment bounded the error by the lateness of the event loop, which holds for open connections only.

Change: the comment. No line of code changes.

--- a/src/gateway/arriving/arrival-times.ts
+++ b/src/gateway/arriving/arrival-times.ts
@@ -22,9 +22,9 @@
 
 /**
  * Tells when requests arrived at the sockets of this process, which may be long before they are
- * read. The bound is never later than the arrival by more than `ON_TIME_MS`, and earlier by no more
- * than the event loop was late. A listening socket gives one connection in each turn of the event
- * loop, so that connections wait longer than bytes.
+ * read: the latest time at which nothing waited there, or now if that is no more than `ON_TIME_MS`
+ * ago. A listening socket gives one connection in each turn of the event loop, so that connections
+ * may wait for many turns.
  */
 export class ArrivalTimes {
   private readonly polls: PollTimes;
