Reflow and correct two comments

Cause: read as a newcomer, one claimed more than holds for entries of another run, the other was over the line length.

Change: comments alone.

--- a/src/core/gateway/owners.ts
+++ b/src/core/gateway/owners.ts
@@ -68,10 +68,11 @@
 /**
  * Returns the owners of a host group: the alive members that its callers in one data centre are
  * sent to. They are the highest ranked by rendezvous hashing weighted by capacity, large members
- * first, so that all nodes select the same ones and few change when members do. There are at least two if possible,
- * and enough that each can carry an even part of the demand; members of unknown capacity can carry
- * any. If the data centre has no alive member, those of all data centres are ranked. Load pattern:
- * hosts of little capacity among larger ones, and one service that most callers use.
+ * first, so that all nodes select the same ones and few change when members do. There are at least
+ * two if possible, and enough that each can carry an even part of the demand; members of unknown
+ * capacity can carry any. If the data centre has no alive member, those of all data centres are
+ * ranked. Load pattern: hosts of little capacity among larger ones, and one service that most
+ * callers use.
  */
 export const ownersOf = (
   members: readonly Member[],
--- a/src/core/gateway/upstream-list.ts
+++ b/src/core/gateway/upstream-list.ts
@@ -38,8 +38,8 @@
 };
 
 /**
- * Whether an entry that is outdated by the one held can only have been written later, so that it
- * speaks against the one held. Late writes of an upstream are few reports behind.
+ * Whether an entry that is outdated by the one held speaks against it: one of another run, or a
+ * report that is no late write, as it is later than the one held or too far behind it.
  */
 const speaksAgainst = (next: GatewayUpstream, held: GatewayUpstream): boolean =>
   next.born !== held.born ||
