Review case 3: six gateways in three zones

The fault isn't one of a pair of gateways: with two in each zone none of them proves its contact for subscribers.

--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -12,12 +12,15 @@
 import { configOf, HAS_TROUBLE, play, routeOf, Scene } from '../lib/scene.mjs';
 
 const HOST = 'seats.example';
-const ADDRESSES = ['127.0.0.1', '127.0.0.2'];
+/** Six gateways, two in each of three zones. */
+const ADDRESSES = [1, 2, 3, 4, 5, 6].map((i) => `127.0.0.${i}`);
+const ZONES = ['loop-a', 'loop-b', 'loop-c'];
 const BACKEND_COUNT = 7;
 const { drainMs, stabilityWindowMs } = BOUNDS.asl;
 const WORK_MS = 470;
 const DEADLINE_MS = 5000;
-const SEND_INTERVAL_MS = 60;
+/** Time between two requests to one gateway. */
+const SEND_INTERVAL_MS = 100;
 /** Time for which the backend serves on after `drainMs`, before it exits. */
 const SERVES_ON_MS = 2000;
 const OBSERVED_MS = 3500;
@@ -46,7 +49,7 @@
   );
   const link = new Link(scene.store);
   await link.start('127.0.0.1');
-  await scene.startGateways(ADDRESSES, { store: link });
+  await scene.startGateways(ADDRESSES, { store: link, zones: ZONES });
   await pause(stabilityWindowMs + 1000);
 
   const requests = new Map();
--- a/review/lib/gateway.mjs
+++ b/review/lib/gateway.mjs
@@ -24,7 +24,7 @@
 
 const boundsOf = (values) => Object.entries(values).map(([name, value]) => `${name}=${value}`);
 
-const settingsText = ({ name, address, first, zone, seeds, store, bounds, memoryMb }) =>
+const settingsText = ({ name, address, first, zone, zones, seeds, store, bounds, memoryMb }) =>
   [
     `nodeName = "${name}"`,
     'role = "gateway"',
@@ -41,7 +41,7 @@
     'heartbeatMs = 1500',
     `bounds = ${JSON.stringify(boundsOf(bounds))}`,
     '[zones]',
-    `${zone} = "loop"`,
+    ...zones.map((one) => `${one} = "loop"`),
     '[listen]',
     ...['front', 'readiness', 'control', 'directory'].map(
       (port) => `${port} = "${address}:${first + PORTS[port]}"`,
@@ -114,7 +114,13 @@
   log = [];
 
   constructor(options) {
-    this.options = { memoryMb: 350, zone: 'loop-a', bounds: BOUNDS.asl, ...options };
+    this.options = {
+      memoryMb: 350,
+      zone: 'loop-a',
+      zones: ['loop-a'],
+      bounds: BOUNDS.asl,
+      ...options,
+    };
     this.address = options.address;
     this.front = options.first + PORTS.front;
     this.readiness = options.first + PORTS.readiness;
--- a/review/lib/scene.mjs
+++ b/review/lib/scene.mjs
@@ -89,6 +89,7 @@
           store: this.store,
           folder: this.folder,
           ...options,
+          ...(options.zones ? { zone: options.zones[i % options.zones.length] } : {}),
         }),
     );
     this.gateways.forEach((gateway) => gateway.start());
