--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -3,7 +3,6 @@
  * one arrives first, with one wrong byte in its head. Other clients have requests in progress at
  * sound backends, on kept connections.
  */
-import { setTimeout } from 'node:timers';
 import { answerOf, Backend } from '../lib/backend.mjs';
 import { ClientConnection, requestOf } from '../lib/client.mjs';
 import { BOUNDS } from '../lib/gateway.mjs';
@@ -15,7 +14,9 @@
 const DISRUPTION_MS = 5500;
 const ANSWERS_PER_SPOILT = 50;
 const SPOILER_ID = 'overlay-1';
-const BUYER_COUNT = 10;
+const BUYER_COUNT = 14;
+/** Time between the first orders of two buyers, so that some are in progress at any moment. */
+const BUYER_INTERVAL_MS = 23;
 /** Times that a request takes at its backend, by path. */
 const WORK_MS = { '/overlay/wide': 260, '/overlay/small': 20, '/orders/print': 290 };
 const DEADLINE_MS = 4000;
@@ -31,22 +32,21 @@
   await scene.startStore();
 
   /** Answers correctly, except that one byte in the head of the fiftieth answer may be wrong. */
-  const respond = (request, socket, backend) => {
+  const respond = async (request, socket, backend) => {
     scene.note(`${backend.id} runs ${request.id} ${request.method} ${request.target}`);
-    setTimeout(() => {
-      if (socket.destroyed) return;
-      const answer = answerOf(request.id, `${backend.id} ${request.id}`);
-      if (backend.id === SPOILER_ID && Date.now() < disruptionEndsAt) {
-        answeredInDisruption += 1;
-        const isDue = answeredInDisruption >= ANSWERS_PER_SPOILT && !isSpoilt;
-        if (isDue && request.target === '/overlay/small') {
-          isSpoilt = true;
-          answer[answer.indexOf('sig.')] = 0x01;
-          scene.note(`${backend.id} spoils a byte in the head of its answer to ${request.id}`);
-        }
+    await pause(WORK_MS[request.target]);
+    if (socket.destroyed) return;
+    const answer = answerOf(request.id, `${backend.id} ${request.id}`);
+    if (backend.id === SPOILER_ID && Date.now() < disruptionEndsAt) {
+      answeredInDisruption += 1;
+      const isDue = answeredInDisruption >= ANSWERS_PER_SPOILT && !isSpoilt;
+      if (isDue && request.target === '/overlay/small') {
+        isSpoilt = true;
+        answer[answer.indexOf('sig.')] = 0x01;
+        scene.note(`${backend.id} spoils a byte in the head of its answer to ${request.id}`);
       }
-      socket.write(answer);
-    }, WORK_MS[request.target]);
+    }
+    socket.write(answer);
   };
   const backendsOf = (service, count) =>
     Array.from(
@@ -73,6 +73,7 @@
   const orderLog = [];
   let isOver = false;
   const buy = async (buyer) => {
+    await pause(buyer * BUYER_INTERVAL_MS);
     const client = new ClientConnection(gateway.address, gateway.front);
     await client.connected;
     for (let i = 1; !isOver && !client.end; i++) {
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -3,7 +3,6 @@
  * firewall that has dropped their state; new ones work. Seconds later a backend reports that it
  * drains.
  */
-import { setTimeout } from 'node:timers';
 import { answerOf, Backend } from '../lib/backend.mjs';
 import { ClientConnection, requestOf } from '../lib/client.mjs';
 import { BOUNDS } from '../lib/gateway.mjs';
@@ -12,15 +11,15 @@
 import { configOf, HAS_TROUBLE, play, routeOf, Scene } from '../lib/scene.mjs';
 
 const HOST = 'seats.example';
-/** Six gateways, two in each of three zones. */
-const ADDRESSES = [1, 2, 3, 4, 5, 6].map((i) => `127.0.0.${i}`);
-const ZONES = ['loop-a', 'loop-b', 'loop-c'];
-const BACKEND_COUNT = 7;
+/** Two gateways, in two zones. */
+const ADDRESSES = ['127.0.0.1', '127.0.0.2'];
+const ZONES = ['loop-a', 'loop-b'];
+const BACKEND_COUNT = 8;
 const { drainMs, stabilityWindowMs } = BOUNDS.asl;
 const WORK_MS = 470;
 const DEADLINE_MS = 5000;
 /** Time between two requests to one gateway. */
-const SEND_INTERVAL_MS = 100;
+const SEND_INTERVAL_MS = 60;
 /** Time for which the backend serves on after `drainMs`, before it exits. */
 const SERVES_ON_MS = 2000;
 const OBSERVED_MS = 3500;
@@ -30,11 +29,10 @@
 play(async () => {
   const scene = new Scene(import.meta.dirname);
   await scene.startStore();
-  const respond = ({ id }, socket, backend) => {
+  const respond = async ({ id }, socket, backend) => {
     scene.note(`${backend.id} runs ${id}`);
-    setTimeout(() => {
-      if (!socket.destroyed) socket.write(answerOf(id, `${backend.id} ${id}`));
-    }, WORK_MS);
+    await pause(WORK_MS);
+    if (!socket.destroyed) socket.write(answerOf(id, `${backend.id} ${id}`));
   };
   const backends = Array.from(
     { length: BACKEND_COUNT },
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -4,7 +4,6 @@
  * moves a route to another service. Nothing is disrupted.
  */
 import { Buffer } from 'node:buffer';
-import { setTimeout } from 'node:timers';
 import { answerOf, Backend } from '../lib/backend.mjs';
 import { ClientConnection, requestOf } from '../lib/client.mjs';
 import { BOUNDS } from '../lib/gateway.mjs';
@@ -40,11 +39,10 @@
 play(async () => {
   const scene = new Scene(import.meta.dirname);
   await scene.startStore();
-  const respond = ({ id }, socket, backend) => {
+  const respond = async ({ id }, socket, backend) => {
     scene.note(`${backend.id} runs ${id}`);
-    setTimeout(() => {
-      if (!socket.destroyed) socket.write(answerOf(id, `${backend.id} ${id}`));
-    }, WORK_MS);
+    await pause(WORK_MS);
+    if (!socket.destroyed) socket.write(answerOf(id, `${backend.id} ${id}`));
   };
   const backendsOf = (service) =>
     [1, 2, 3].map((i) => new Backend({ id: `${service}-${i}`, service, zone: 'loop-a', respond }));
--- a/review/lib/backend.mjs
+++ b/review/lib/backend.mjs
@@ -8,6 +8,8 @@
 const HEAD_END = '\r\n\r\n';
 /** Interval in milliseconds at which a backend writes its entry. */
 const HEARTBEAT_MS = 1500;
+/** Number of requests that wait for a slot, as in the site files. */
+const MAX_QUEUE_LENGTH = 24;
 
 /** Returns the value of a header of a head; empty if it is absent. */
 export const headerOf = (head, name) => {
@@ -35,8 +37,10 @@
   ]);
 
 /**
- * A backend under one id. `respond(request, socket, backend)` writes the answer to a request that
- * runs; `request` holds `id`, `method`, `target`, `head` and `body`.
+ * A backend under one id. `respond(request, socket, backend)` runs a request and writes its answer,
+ * and resolves when its slot is free again; `request` holds `id`, `method`, `target`, `head` and
+ * `body`. As many requests as there are slots run at a time; a few more wait, and others are
+ * rejected without a run, as are those whose deadline passes while they wait.
  */
 export class Backend {
   /** Every request that began to run. */
@@ -46,6 +50,13 @@
 
   sequence = 0;
 
+  /** Number of requests that run, and those that wait for a slot. */
+  running = 0;
+
+  queue = [];
+
+  rejectedCount = 0;
+
   constructor({ id, service, zone, respond, slots = 6, address = '127.0.0.1' }) {
     Object.assign(this, { id, service, zone, respond, slots, address });
     this.born = Date.now();
@@ -108,9 +119,40 @@
       );
       return;
     }
-    const request = { id, method, target, head, body, at: Date.now() };
+    const remainingMs = Number(headerOf(head, 'X-Redwingmount-Deadline-Ms') || Infinity);
+    const arrived = { id, method, target, head, body, deadline: Date.now() + remainingMs };
+    if (this.running >= this.slots && this.queue.length >= MAX_QUEUE_LENGTH) {
+      this.reject(arrived, socket);
+      return;
+    }
+    this.queue.push({ arrived, socket });
+    this.startNext();
+  }
+
+  /** Says that a request has not run. */
+  reject({ id }, socket) {
+    this.rejectedCount += 1;
+    socket.write(
+      `HTTP/1.1 503 Service Unavailable\r\nX-Redwingmount-Request-Id: ${id}\r\n` +
+        'X-Redwingmount-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n',
+    );
+  }
+
+  /** Runs waiting requests while there are free slots; drops those whose connection has closed. */
+  startNext() {
+    while (this.running < this.slots && this.queue.length > 0) {
+      const { arrived, socket } = this.queue.shift();
+      if (!socket.destroyed && Date.now() >= arrived.deadline) this.reject(arrived, socket);
+      else if (!socket.destroyed) this.run({ ...arrived, at: Date.now() }, socket);
+    }
+  }
+
+  async run(request, socket) {
+    this.running += 1;
     this.runs.push(request);
-    this.respond(request, socket, this);
+    await this.respond(request, socket, this);
+    this.running -= 1;
+    this.startNext();
   }
 
   /** Ends as a crash does: the listener closes and all connections are reset. */
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -68,6 +68,7 @@
   onRequest(req, res) {
     const url = new URL(req.url, 'http://store');
     const topic = this.topic(url.searchParams.get('topic') ?? '');
+    res.setHeader('store-era', '1');
     if (url.pathname === '/redwingmount/log-newest') {
       const after = url.searchParams.get('after') ?? '';
       const rest = topic.newest().filter(({ key }) => key > after);
