Read on from an upstream's connection once a streamed answer has ended

Callers saw 504 for requests whose upstream had answered at once, orders included: those sent on a connection to an upstream that had carried an answer of over 2 MiB before. The connection is paused while the stream of such an answer is full. If it is full when the answer ends, as it is whenever the last bytes come in one piece of 16 KiB, the stream drains without the event that resumes the connection, which becomes idle and is reused, but never read again.

The connection is resumed at the end of the answer.

streamed-connection.test.ts, a large and a small answer in turn, ten times: 10 of 10 small ones timed out before, none now, all on one connection.

--- a/src/gateway/sending/upstream-connection.ts
+++ b/src/gateway/sending/upstream-connection.ts
@@ -281,8 +281,11 @@
     const { head } = running;
     this.running = undefined;
     running.stopTimers();
-    if (running.stream) running.stream.end();
-    else {
+    if (running.stream) {
+      running.stream.end();
+      // A stream that has ended drains without an event.
+      this.socket.resume();
+    } else {
       const bytes = Buffer.concat(running.chunks, running.size);
       const { isFirst } = this;
       running.resolve({ kind: 'answered', head, body: { kind: 'whole', bytes }, isFirst });
