--- a/bench/peer-bytes.ts
+++ b/bench/peer-bytes.ts
@@ -15,7 +15,7 @@
 const CHUNKED = 'Transfer-Encoding: chunked\r\n';
 const PIECE = '1\r\nx\r\n';
 const HELD_ANSWER_BYTES = 2_000_000;
-const HELD_SENT_BYTES = 1_900_000;
+const HELD_BYTES = Buffer.alloc(1_900_000, 'x');
 /** Offsets of the ports from the first one of a gateway. */
 const PORTS = { readiness: 1, directory: 2, peers: 3 };
 
@@ -107,7 +107,7 @@
   'held answers, 300 callers': {
     respond: faultyOf(3, ({ id }, socket) => {
       socket.write(answerHead(id, `Content-Length: ${HELD_ANSWER_BYTES}\r\n`));
-      socket.write(Buffer.alloc(HELD_SENT_BYTES, 'x'));
+      socket.write(HELD_BYTES);
     }),
     disturb: readers(300),
   },
--- a/src/core/gateway/attempt-outcome.ts
+++ b/src/core/gateway/attempt-outcome.ts
@@ -61,6 +61,9 @@
  */
 export const STALE_CONNECTION = 'stale-connection';
 
+/** The `why` of an attempt whose answer this host had no memory for, which is not its upstream's fault. */
+export const MEMORY_SHORT = 'memory-short';
+
 /**
  * Ratio to the mean latency up to which a failure is too early for the request to have been
  * processed.
@@ -82,6 +85,7 @@
     case 'unknown':
       // An early reset on a stale connection is only weak evidence of a fault.
       if (outcome.why === STALE_CONNECTION) return { kind: 'evidence', evidence: 'failed-late' };
+      if (outcome.why === MEMORY_SHORT) return { kind: 'none' };
       return failureVerdict(ratio);
     case 'failed':
       return failureVerdict(ratio);
--- a/src/core/memory/index.ts
+++ b/src/core/memory/index.ts
@@ -1,1 +1,2 @@
 export * from './memory-account';
+export * from './heap-share';
--- a/src/core/memory/memory-account.ts
+++ b/src/core/memory/memory-account.ts
@@ -13,13 +13,28 @@
 export const bufferLimitOf = (memoryBytes: number): number =>
   Number.isFinite(memoryBytes) ? BUFFER_MEMORY_RATIO * memoryBytes : DEFAULT_BUFFER_LIMIT_BYTES;
 
+/** Whom a host keeps bytes for: one connection of a caller, or one of the others by its id. */
+export interface Peer {
+  readonly kind: 'caller' | 'upstream' | 'gateway' | 'store';
+  readonly id: string;
+}
+
+const keyOf = ({ kind, id }: Peer): string => `${kind} ${id}`;
+
+/** What is held for one peer, by holder. */
+interface PeerBytes {
+  readonly byHolder: Map<object, number>;
+  sum: number;
+}
+
 /**
- * Counts the bytes that a host buffers for each holder, such as a caller's connection. Load
- * patterns: many callers send bodies slowly, or don't read their answers.
+ * Counts the bytes that a host keeps for each peer, in holders such as an answer that is being
+ * collected. Load patterns: callers send bodies slowly or don't read their answers; upstreams send
+ * answers without end, or stop in the middle.
  */
-export class MemoryAccount<Holder> {
-  /** Bytes by holder, in the order in which the holders were opened. */
-  private readonly bytesByHolder = new Map<Holder, number>();
+export class MemoryAccount<Holder extends { readonly peer: Peer }> {
+  /** Peers by kind and id, in the order in which they came to hold something. */
+  private readonly peers = new Map<string, PeerBytes>();
 
   private sum = 0;
 
@@ -39,49 +54,65 @@
     return this.sum > this.limit();
   }
 
+  /** Bytes of one holder. */
   bytesOf(holder: Holder): number {
-    return this.bytesByHolder.get(holder) ?? 0;
-  }
-
-  /** Adds a holder without bytes; returns false if it is known. */
-  open(holder: Holder): boolean {
-    if (this.bytesByHolder.has(holder)) return false;
-    this.bytesByHolder.set(holder, 0);
-    return true;
+    return this.peerOf(holder)?.byHolder.get(holder) ?? 0;
   }
 
-  /** Counts bytes of an open holder. */
-  add(holder: Holder, bytes: number): void {
-    if (!this.bytesByHolder.has(holder)) return;
-    this.bytesByHolder.set(holder, this.bytesOf(holder) + bytes);
-    this.sum += bytes;
+  /** Bytes held for all peers of a kind. */
+  bytesOfKind(kind: Peer['kind']): number {
+    let sum = 0;
+    this.peers.forEach((peer, key) => {
+      if (key.startsWith(`${kind} `)) sum += peer.sum;
+    });
+    return sum;
   }
 
-  /** Counts bytes as released, no more than the holder has. */
-  release(holder: Holder, bytes: number): void {
-    this.add(holder, -Math.min(bytes, this.bytesOf(holder)));
+  /**
+   * Whether a peer would hold no more than its share of the limit, which all that hold something
+   * have alike.
+   */
+  isWithinShare({ peer }: Holder, more: number): boolean {
+    const held = this.peers.get(keyOf(peer))?.sum ?? 0;
+    return held + more <= this.limit() / Math.max(1, this.peers.size);
   }
 
-  /** Releases all bytes of a holder and forgets it. */
-  close(holder: Holder): void {
-    this.sum -= this.bytesOf(holder);
-    this.bytesByHolder.delete(holder);
+  /** Counts `bytes` for a holder, in place of what it held. */
+  resize(holder: Holder, bytes: number): void {
+    const key = keyOf(holder.peer);
+    const peer = this.peers.get(key) ?? { byHolder: new Map<object, number>(), sum: 0 };
+    const more = bytes - (peer.byHolder.get(holder) ?? 0);
+    if (bytes > 0) peer.byHolder.set(holder, bytes);
+    else peer.byHolder.delete(holder);
+    peer.sum += more;
+    this.sum += more;
+    if (peer.byHolder.size > 0) this.peers.set(key, peer);
+    else this.peers.delete(key);
   }
 
   /**
-   * Returns the holder to disconnect when memory is short: the one with the most bytes, the oldest
-   * of several. The newest holder is spared, as it had no chance yet, unless only it has any bytes.
+   * Returns the holder to give way when memory is short: the largest one of the peer that holds
+   * most, the oldest of several. The newest peer is spared, as it had no chance yet, unless it is the
+   * only one.
    */
   largestHolder(): Holder | undefined {
-    const holders = [...this.bytesByHolder];
-    const newest = holders.at(-1)?.[0];
-    let largest: Holder | undefined;
+    const peers = [...this.peers.values()];
+    const candidates = peers.length > 1 ? peers.slice(0, -1) : peers;
+    const largest = candidates.reduce<PeerBytes | undefined>(
+      (most, peer) => (peer.sum > (most?.sum ?? 0) ? peer : most),
+      undefined,
+    );
+    let found: Holder | undefined;
     let most = 0;
-    holders.forEach(([holder, bytes]) => {
-      if (holder === newest || bytes <= most) return;
-      largest = holder;
+    largest?.byHolder.forEach((bytes, holder) => {
+      if (bytes <= most) return;
+      found = holder as Holder;
       most = bytes;
     });
-    return largest ?? (this.sum > 0 ? newest : undefined);
+    return found;
+  }
+
+  private peerOf({ peer }: Holder): PeerBytes | undefined {
+    return this.peers.get(keyOf(peer));
   }
 }
--- a/src/gateway/arriving/body-reader.ts
+++ b/src/gateway/arriving/body-reader.ts
@@ -1,10 +1,11 @@
 import type { IncomingMessage } from 'node:http';
 
 import { guarded } from '../../adapters/guarded';
+import { HeldBytes } from '../../adapters/held-bytes';
 import type { Instant } from '../../model';
 import type { Clock } from '../../ports';
 
-import type { MemoryGuard } from './memory-guard';
+import type { Holding } from '../memory';
 
 /** Size in bytes up to which a body always gets memory. */
 const SMALL_BODY_BYTES = 64 * 1024;
@@ -22,7 +23,9 @@
 
 /** What a reader works with. */
 export interface BodyReaderOptions {
-  readonly memory: MemoryGuard;
+  /** Counts the request, of which `headBytes` are its head. */
+  readonly holding: Holding;
+  readonly headBytes: number;
   readonly clock: Pick<Clock, 'now'>;
   readonly maxBytes: number;
   /** When the request must be answered, whatever has arrived of it. */
@@ -44,12 +47,12 @@
  * in time even if its body doesn't arrive.
  */
 export class BodyReader {
-  private readonly chunks: Buffer[] = [];
+  private readonly body = new HeldBytes();
 
   private received = 0;
 
-  /** Bytes that are counted for this body. */
-  private claimed = 0;
+  /** Bytes that are counted for this body; -1 before any are. */
+  private claimed = -1;
 
   private isOver = false;
 
@@ -87,15 +90,13 @@
   /** Gives back the memory of the body. */
   release(): void {
     clearTimeout(this.timer);
-    this.options.memory.release(this.req.socket, this.claimed);
-    this.claimed = 0;
+    this.options.holding.resize(this.options.headBytes);
   }
 
   private claim(bytes: number): boolean {
     if (bytes <= this.claimed) return true;
-    const more = bytes - this.claimed;
-    const isSmall = bytes <= SMALL_BODY_BYTES;
-    if (!this.options.memory.claim(this.req.socket, more, isSmall)) return false;
+    const { holding, headBytes } = this.options;
+    if (!holding.claim(headBytes + bytes, bytes <= SMALL_BODY_BYTES)) return false;
     this.claimed = bytes;
     return true;
   }
@@ -103,17 +104,17 @@
   private onChunk(chunk: Buffer): void {
     if (this.isOver) return;
     this.received += chunk.length;
-    this.options.memory.onProgress(this.req.socket);
+    this.options.holding.noteProgress();
     if (this.received > this.options.maxBytes) this.giveUp('body-too-large');
     else if (!this.claim(this.received)) this.giveUp('memory-short');
-    else this.chunks.push(chunk);
+    else this.body.push(chunk);
   }
 
   private onEnd(): void {
     if (this.isOver) return;
     this.isOver = true;
     clearTimeout(this.timer);
-    this.options.onWhole(Buffer.concat(this.chunks));
+    this.options.onWhole(this.body.take());
   }
 
   private startTimer(): void {
@@ -134,7 +135,7 @@
     if (this.isOver) return;
     this.isOver = true;
     clearTimeout(this.timer);
-    this.chunks.length = 0;
+    this.body.take();
     this.req.resume();
     this.options.onUnread({ kind, received: this.received, declared: this.declared ?? -1 });
   }
--- a/src/gateway/arriving/caller-connection.ts
+++ b/src/gateway/arriving/caller-connection.ts
@@ -2,9 +2,12 @@
 import type { Socket } from 'node:net';
 
 import { guarded } from '../../adapters/guarded';
+import type { Peer } from '../../core/memory';
 import type { Instant } from '../../model';
 import type { Clock } from '../../ports';
 
+import type { Holding } from '../memory';
+
 /** Number of requests of one connection that are served at the same time. */
 const MAX_SERVED_COUNT = 8;
 /** Number of unanswered requests after which a connection takes no more, and closes behind them. */
@@ -29,13 +32,23 @@
   constructor(
     readonly req: IncomingMessage,
     readonly res: ServerResponse,
+    /** Counts what is held for the request: its head, its body, then its answer. */
+    readonly holding: Holding,
+    /** What its head counts for. */
+    readonly headBytes: number,
   ) {
+    this.onEnd(() => holding.close());
     res.once(
       'close',
       guarded('caller-connection close', () => this.end()),
     );
   }
 
+  /** Drops the head of the request, which nothing reads any more; the response keeps the rest. */
+  forgetHead(): void {
+    Object.assign(this.req, { rawHeaders: [], headers: {} });
+  }
+
   /** Aborted at the end of the exchange. */
   get ended(): AbortSignal {
     return this.controller.signal;
@@ -74,6 +87,7 @@
   /** Ends the exchange; ending it again has no effect. */
   end(): void {
     if (this.ended.aborted) return;
+    this.forgetHead();
     this.controller.abort();
     this.listeners.splice(0).forEach((listener) => listener());
   }
@@ -98,6 +112,9 @@
  * the first response; they must neither fill the upstreams nor outlive their caller.
  */
 export class CallerConnection {
+  /** The connection as a peer that bytes are held for. */
+  readonly peer: Peer;
+
   /** The request that was taken last. */
   last: CallerExchange | undefined;
 
@@ -115,6 +132,8 @@
 
   private servedCount = 0;
 
+  private readonly leave: () => void;
+
   /** Whether no further requests are taken. */
   isClosing = false;
 
@@ -124,9 +143,9 @@
     private readonly clock: Clock,
     onLeave: (connection: CallerConnection) => void,
   ) {
+    this.peer = { kind: 'caller', id: `${socket.remoteAddress}:${socket.remotePort}` };
     const leave = guarded('caller-connection leave', () => {
-      socket.off('end', leave);
-      socket.off('close', leave);
+      if (this.leftAt !== undefined) return;
       this.leftAt = clock.now();
       this.isClosing = true;
       try {
@@ -138,6 +157,16 @@
     // Before the server's own listeners, which end the response that is being written.
     socket.prependListener('end', leave);
     socket.prependListener('close', leave);
+    this.leave = leave;
+  }
+
+  /**
+   * Closes the connection of a caller for which too much is held. What is held is let go of at once:
+   * the event comes only after all sockets are polled, which may fill the memory.
+   */
+  disconnect(): void {
+    this.leave();
+    this.socket.destroy();
   }
 
   /** Number of unanswered requests, waiting ones included. */
--- a/src/gateway/arriving/caller-server.ts
+++ b/src/gateway/arriving/caller-server.ts
@@ -6,6 +6,7 @@
 
 import type { ArrivalTimes } from './arrival-times';
 import { BodyReader, type UnreadBody } from './body-reader';
+import { requestCostOf } from '../../core/memory';
 import { CallerConnection, CallerExchange } from './caller-connection';
 import type { GatewayContext } from '../context';
 import { discardAnswer } from '../sending/gateway-reply';
@@ -117,7 +118,7 @@
   onRequest(req: IncomingMessage, res: ServerResponse): void {
     this.lastRequestAt = this.context.clock.now();
     const connection = this.connectionOf(req.socket);
-    const exchange = new CallerExchange(req, res);
+    const exchange = this.exchangeOf(connection, req, res);
     if (!connection.add(exchange)) return;
     this.open.add(exchange);
     exchange.onEnd(() => this.open.delete(exchange));
@@ -125,6 +126,21 @@
     if (this.isOver) exchange.breakOff();
   }
 
+  private exchangeOf(
+    connection: CallerConnection,
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): CallerExchange {
+    const { memory } = this.service;
+    const headBytes = memory.heapBytes(requestCostOf(req.rawHeaders));
+    const holding = memory.open(connection.peer, () => {
+      const { openCount: open } = connection;
+      this.context.telemetry.event('caller-disconnected', { why: 'memory', open });
+      connection.disconnect();
+    });
+    return new CallerExchange(req, res, holding, headBytes);
+  }
+
   private connectionOf(socket: Socket): CallerConnection {
     const known = this.connections.get(socket);
     if (known) return known;
@@ -149,21 +165,24 @@
   /** Reads a request's body, has the request served and writes the reply. */
   private read(connection: CallerConnection, exchange: CallerExchange): void {
     const { req } = exchange;
-    const { memory, arrivals } = this.service;
+    const { arrivals } = this.service;
     const { clock, headerConventions } = this.context;
     const readAt = clock.now();
     const arrivedAt = arrivals.arrivalAt(req.socket);
     const timeout = this.service.timeoutOf?.(req) ?? Number.POSITIVE_INFINITY;
     const reader = new BodyReader(req, {
-      memory,
+      holding: exchange.holding,
+      headBytes: exchange.headBytes,
       clock,
       maxBytes: (this.service.limits() ?? INITIAL_LIMITS).maxBodyBytes,
       answerBy: Math.min(deadlineOf(req, headerConventions, arrivedAt), arrivedAt + timeout),
       onWhole: (body) => {
         const relayTerms = this.service.relayTerms?.(req);
         const { ended: signal } = exchange;
-        const read = { body, arrivedAt, readAt, relayTerms, signal };
+        const { peer: caller } = connection;
+        const read = { body, arrivedAt, readAt, relayTerms, signal, caller };
         const request = decodeRequest(req, headerConventions, read);
+        exchange.forgetHead();
         this.serveInTurn(connection, exchange, request, () => reader.release());
       },
       onUnread: (why) => {
@@ -184,13 +203,20 @@
     release: () => void,
   ): void {
     exchange.onBreakOff(() => this.breakOffRequest(connection, exchange, request, STOP_REFUSAL));
+    const { id } = request;
+    // Not held by a turn that comes after the end of the exchange.
+    let waiting: CallerRequest | undefined = request;
+    exchange.onEnd(() => {
+      waiting = undefined;
+    });
     this.service.turns.add(() => {
-      if (exchange.ended.aborted) {
-        this.logUndelivered(connection, request, { kind: 'nobody' });
+      const served = waiting;
+      if (!served) {
+        this.logUndelivered(connection, id, { kind: 'nobody' });
         return false;
       }
       connection.serve(exchange, () => {
-        detached('caller-server', this.serve(connection, exchange, request, release));
+        detached('caller-server', this.serve(connection, exchange, served, release));
       });
       return true;
     });
@@ -206,6 +232,7 @@
     const request = String(req.headers[this.context.headerConventions.requestId] ?? '');
     this.context.telemetry.count('bodies_unread', { why: kind });
     this.context.telemetry.event('body-unread', { request, why: kind, received, declared });
+    exchange.forgetHead();
     connection.closeAfter(exchange);
     connection.respond(exchange, () => {
       writeUnread(res, kind);
@@ -238,7 +265,7 @@
     try {
       const reply = await this.service.serve(request);
       release();
-      this.logUndelivered(connection, request, reply);
+      this.logUndelivered(connection, request.id, reply);
       exchange.onEnd(() => discardAnswer(reply));
       if (exchange.ended.aborted) return;
       this.replies.write(connection, exchange, request, reply);
@@ -248,14 +275,10 @@
   }
 
   /** Logs that a request has ended after its caller left. */
-  private logUndelivered(
-    { leftAt }: CallerConnection,
-    request: CallerRequest,
-    reply: CallerReply,
-  ): void {
+  private logUndelivered({ leftAt }: CallerConnection, id: string, reply: CallerReply): void {
     if (leftAt === undefined) return;
     this.context.telemetry.event('undelivered', {
-      request: request.id,
+      request: id,
       outcome: reply.kind,
       leftMs: Math.round(this.context.clock.now() - leftAt),
     });
--- a/src/gateway/arriving/index.ts
+++ b/src/gateway/arriving/index.ts
@@ -3,7 +3,7 @@
 export * from './caller-connection';
 export * from './arrival-times';
 export * from './serving-turns';
-export * from './memory-guard';
+export * from './reading-turns';
 export * from './body-reader';
 export * from './idle-timeout';
 export * from './client-errors';
--- /dev/null
+++ b/src/gateway/arriving/reading-turns.ts
@@ -0,0 +1,63 @@
+import { guarded } from '../../adapters/guarded';
+import { TimeShare } from '../../core/waiting';
+import type { Millis } from '../../model';
+import type { Clock } from '../../ports';
+
+/** Share of the time that expensive reads of all peers together may take. */
+const READING_SHARE = 0.1;
+/** Time in milliseconds that they may take, in turns of their own, after a rest. */
+const READING_BURST_MS: Millis = 20;
+/** Longest time in milliseconds that is counted for one read. */
+const MAX_READ_COST_MS: Millis = 50;
+
+/** Reads a small part of what a peer has sent; returns whether more waits. */
+export type ReadSlice = () => boolean;
+
+/**
+ * Reads what peers send at a high cost by byte, such as bodies in chunks of one byte: one slice in a
+ * turn of the event loop for all peers together, round robin, and for no more than `READING_SHARE`
+ * of the time once `READING_BURST_MS` is used up. A peer adds itself when a slice was expensive, and
+ * stops its socket meanwhile. Load pattern: a few peers that send such bytes without end, beside
+ * many with cheap ones that must not wait for them.
+ */
+export class ReadingTurns {
+  private readonly time = new TimeShare({
+    share: READING_SHARE,
+    burst: READING_BURST_MS,
+    maxCost: MAX_READ_COST_MS,
+  });
+
+  private readonly waiting: ReadSlice[] = [];
+
+  private isScheduled = false;
+
+  constructor(private readonly clock: Pick<Clock, 'now'>) {}
+
+  /** Has a peer's slices read in turn, until `read` returns false. */
+  add(read: ReadSlice): void {
+    this.waiting.push(read);
+    this.schedule();
+  }
+
+  private schedule(): void {
+    if (this.isScheduled || this.waiting.length === 0) return;
+    this.isScheduled = true;
+    const onTurn = guarded('reading-turns timer', () => this.onTurn());
+    const wait = this.time.dueAt - this.clock.now();
+    if (wait > 0) setTimeout(onTurn, wait);
+    // Immediates run once in each turn, after the sockets are polled.
+    else setImmediate(onTurn);
+  }
+
+  private onTurn(): void {
+    this.isScheduled = false;
+    const read = this.waiting.shift();
+    const startedAt = this.clock.now();
+    try {
+      if (read?.()) this.waiting.push(read);
+    } finally {
+      this.time.record(startedAt, this.clock.now());
+      this.schedule();
+    }
+  }
+}
--- a/src/gateway/arriving/reply-writer.ts
+++ b/src/gateway/arriving/reply-writer.ts
@@ -1,10 +1,8 @@
 import type { ServerResponse } from 'node:http';
 
-import { guarded } from '../../adapters/guarded';
-
 import type { CallerConnection, CallerExchange } from './caller-connection';
 import type { GatewayContext } from '../context';
-import type { MemoryGuard } from './memory-guard';
+import type { HostMemory } from '../memory';
 import type { CallerRequest } from '../request/caller-request';
 import { UNFRAMED } from '../sending/forwarding';
 import { currentReply, writeError, writeReply, type CallerReply } from './replies';
@@ -18,11 +16,18 @@
 export interface ReplyService {
   isStopping(): boolean;
   /** Counts what is buffered for callers, of all servers of this gateway. */
-  readonly memory: MemoryGuard;
+  readonly memory: HostMemory;
   /** Sets headers of this gateway's own on a response before the reply is written. */
   setHeaders?(res: ServerResponse, reply: CallerReply): void;
 }
 
+/** Counts an answer that is complete in memory for its caller, until that has taken it. */
+const countAnswer = ({ holding, headBytes }: CallerExchange, reply: CallerReply): void => {
+  if (reply.kind !== 'answer' || reply.body.kind !== 'whole') return;
+  reply.body.holding?.close();
+  holding.resize(headBytes + reply.body.bytes.length);
+};
+
 /** Writes the replies to requests in the order of their connection. */
 export class ReplyWriter {
   constructor(
@@ -37,7 +42,7 @@
     request: CallerRequest,
     reply: CallerReply,
   ): void {
-    this.countAnswer(exchange, reply);
+    countAnswer(exchange, reply);
     const { res } = exchange;
     connection.respond(exchange, () => {
       // A reply that has waited is written when the one before it ends.
@@ -102,16 +107,4 @@
     if (closes) connection.close();
     return closes;
   }
-
-  /** Counts an answer that is complete in memory until the caller's socket has taken it. */
-  private countAnswer({ req, res }: CallerExchange, reply: CallerReply): void {
-    if (reply.kind !== 'answer' || reply.body.kind !== 'whole') return;
-    const { memory } = this.service;
-    const { length } = reply.body.bytes;
-    res.once(
-      'finish',
-      guarded('reply-writer finish', () => memory.release(req.socket, length)),
-    );
-    memory.add(req.socket, length);
-  }
 }
--- a/src/gateway/deciding/attempt.ts
+++ b/src/gateway/deciding/attempt.ts
@@ -152,6 +152,8 @@
       clock.now() < deadline && stats.terms.mayStillSend(clock.now()) && !attempt.isHeld(),
     deadline,
     signal,
+    caller: request.caller,
+    requestEnded: request.signal,
     idempotent,
   });
   clearTimeout(overdue);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,8 +19,8 @@
   ArrivalTimes,
   CallerServer,
   type CallerService,
-  MemoryGuard,
   PlannedStop,
+  ReadingTurns,
   RelayServer,
   ServingTurns,
   WorkspaceAccess,
@@ -29,6 +29,7 @@
 import { Feeds, type ReadTiming, UpstreamRegistry } from './feeds';
 import { Fleet } from './peers';
 import { listenOnAll } from './listening';
+import { HeapGuard, HostMemory } from './memory';
 import { ServiceSchedulers } from './scheduling';
 import { AnnouncementReader, ConnectionPool, PathMonitor, PeerRelay } from './sending';
 import { createDirectoryServer, createMetricsServer, createReadinessServer } from './small-servers';
@@ -90,6 +91,8 @@
 
   private readonly brokenCallbacks: BrokenCallbackLog;
 
+  private readonly heapGuard: HeapGuard;
+
   private hostGroups: HostGroups | undefined;
 
   private readonly plannedStop: PlannedStop;
@@ -115,7 +118,11 @@
       endpoints: () => this.schedulers.readyEndpoints(),
       onChange: (isCut) => this.onPathChange(isCut),
     });
-    this.pool = new ConnectionPool(headerConventions.requestId, clock, (upstream, head) => {
+    const memory = new HostMemory(context);
+    this.heapGuard = new HeapGuard(memory, telemetry);
+    const turns = new ReadingTurns(clock);
+    const connections = { idHeader: headerConventions.requestId, clock, memory, turns };
+    this.pool = new ConnectionPool('upstream', connections, (upstream, head) => {
       this.path.recordContact();
       announcements.read(upstream, head);
     });
@@ -154,7 +161,7 @@
     const callerService: CallerService = {
       limits: () => this.inForce.routes?.config.limits,
       isStopping: () => this.plannedStop.isAskedFor,
-      memory: new MemoryGuard(context),
+      memory,
       arrivals: this.arrivals,
       turns: new ServingTurns(() => this.arrivals.takenCount),
       timeoutOf: ({ headers, url }) =>
@@ -172,7 +179,7 @@
       () => this.inForce.routes?.config.version,
     );
     [this.callers.server, this.feeds.server].forEach((server) => this.arrivals.watch(server));
-    this.relay = new PeerRelay(context, {
+    this.relay = new PeerRelay(context, connections, {
       peersFor: (service) => this.fleet.relayPeersOf(service),
       config: () => this.inForce,
       onLaterConfig: () => {
@@ -313,6 +320,7 @@
     );
     this.pool.close();
     this.brokenCallbacks.close();
+    this.heapGuard.close();
   }
 
   private isReady(): boolean {
--- /dev/null
+++ b/src/gateway/memory/index.ts
@@ -0,0 +1,2 @@
+export * from './host-memory';
+export * from './heap-guard';
--- a/src/gateway/request/caller-request.ts
+++ b/src/gateway/request/caller-request.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 
+import type { Peer } from '../../core/memory';
 import type { GatewayWorkspace, Instant, Millis } from '../../model';
 import type { HeaderConventions } from '../../ports';
 
@@ -36,7 +37,9 @@
   readonly apiKey?: string | undefined;
   /** The request's token of its workspace's quota, if that has one. */
   readonly quotaToken?: QuotaToken | undefined;
-  /** Aborted when the connection to the caller closes. */
+  /** Whom what is held for the request is counted for. */
+  readonly caller: Peer;
+  /** Aborted when the request is answered, or the connection to the caller closes. */
   readonly signal: AbortSignal;
 }
 
@@ -58,7 +61,7 @@
 export const decodeRequest = (
   req: IncomingMessage,
   headerConventions: HeaderConventions,
-  read: Pick<CallerRequest, 'body' | 'arrivedAt' | 'readAt' | 'relayTerms' | 'signal'>,
+  read: Pick<CallerRequest, 'body' | 'arrivedAt' | 'readAt' | 'relayTerms' | 'signal' | 'caller'>,
 ): CallerRequest => {
   const header = (name: string): string => {
     const value = req.headers[name];
--- a/src/gateway/sending/answer-parser.ts
+++ b/src/gateway/sending/answer-parser.ts
@@ -17,8 +17,9 @@
 /** Functions that the parser calls as it reads answers. */
 export interface AnswerHandler {
   onHead(head: AnswerHead): void;
-  onBody(chunk: Buffer): void;
-  /** Called when the answer is complete; `hasMore` if more bytes follow it in the same chunk. */
+  /** Receives the next part of the body: the bytes from `start` to `end`. */
+  onBody(bytes: Buffer, start: number, end: number): void;
+  /** Called when the answer is complete; `hasMore` if more bytes have been received behind it. */
   onEnd(hasMore: boolean): void;
 }
 
@@ -129,6 +130,8 @@
   /** Whether the answer being read is an interim one (1xx), which is skipped. */
   private isInterim = false;
 
+  private moreFollows = false;
+
   /**
    * Whether the coming answer has no body because its request is a HEAD; set it before each answer.
    */
@@ -137,17 +140,21 @@
   constructor(private readonly events: AnswerHandler) {
     this.parser[HTTPParser.kOnHeadersComplete] = (info) => this.onHead(info);
     this.parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
-      events.onBody(chunk.subarray(offset, offset + length));
+      events.onBody(chunk, offset, offset + length);
     };
     this.parser[HTTPParser.kOnMessageComplete] = () => {
       const { offset, end } = stateOf(this.parser);
       if (this.isInterim) this.isInterim = false;
-      else events.onEnd(offset < end);
+      else events.onEnd(offset < end || this.moreFollows);
     };
   }
 
-  /** Parses received bytes; returns false if they are malformed. */
-  parse(chunk: Buffer): boolean {
+  /**
+   * Parses received bytes, behind which more may have been received; returns false if they are
+   * malformed.
+   */
+  parse(chunk: Buffer, moreFollows = false): boolean {
+    this.moreFollows = moreFollows;
     try {
       return typeof this.parser.execute(chunk) === 'number';
     } catch {
--- a/src/gateway/sending/connection-pool.ts
+++ b/src/gateway/sending/connection-pool.ts
@@ -1,10 +1,10 @@
 import { IdleConnectionLimit } from '../../core/gateway';
+import type { Peer } from '../../core/memory';
 import type { GatewayUpstream, Instant, Millis } from '../../model';
-import type { Clock } from '../../ports';
 
 import type { AnswerHead } from './answer-parser';
 import type { Exchange, ExchangeResult } from './exchange';
-import { UpstreamConnection } from './upstream-connection';
+import { UpstreamConnection, type ConnectionContext } from './upstream-connection';
 
 /** Time-out in milliseconds to connect; a healthy upstream in the same region takes about 1 ms. */
 const CONNECT_TIMEOUT_MS: Millis = 200;
@@ -49,22 +49,22 @@
   connectCount = 0;
 
   constructor(
-    private readonly idHeader: string,
-    private readonly clock: Clock,
+    private readonly kind: Extract<Peer['kind'], 'upstream' | 'gateway'>,
+    private readonly context: ConnectionContext,
     /** Receives the head of every answer on a connection to the upstream. */
     private readonly onAnswerHead: (upstream: Target, head: AnswerHead) => void,
   ) {}
 
   /** Sends a request on an idle connection that is safe to reuse, or else on a new one. */
   async run(upstream: Target, exchange: PooledExchange): Promise<ExchangeResult> {
-    const now = this.clock.now();
+    const now = this.context.clock.now();
     const key = keyOf(upstream);
     const connection = this.takeIdle(key, exchange.idempotent, now);
     const connectBy: Instant = Math.min(now + CONNECT_TIMEOUT_MS, exchange.deadline);
     const used = connection ?? this.connect(key, upstream);
     const result = await used.run(exchange, connectBy);
     if (result.kind === 'failed' && isStaleReset(result)) {
-      this.idleLimit.recordReset(result.idleFor, this.clock.now());
+      this.idleLimit.recordReset(result.idleFor, this.context.clock.now());
     }
     return result;
   }
@@ -95,8 +95,8 @@
     this.connectCount += 1;
     const connection = new UpstreamConnection(
       upstream.endpoint,
-      this.idHeader,
-      this.clock,
+      { kind: this.kind, id: upstream.id },
+      this.context,
       (head) => this.onAnswerHead(upstream, head),
       (idle) => {
         const list = this.idle.get(key) ?? [];
--- a/src/gateway/sending/exchange.ts
+++ b/src/gateway/sending/exchange.ts
@@ -1,12 +1,14 @@
 import type { Readable } from 'node:stream';
 
+import type { Peer } from '../../core/memory';
 import type { Instant, Millis } from '../../model';
 
+import type { Holding } from '../memory';
 import type { AnswerHead } from './answer-parser';
 
-/** The body of an answer: complete in memory, or a stream if it is large. */
+/** The body of an answer: complete in memory, where `holding` counts it, or a stream if it is large. */
 export type AnswerBody =
-  | { readonly kind: 'whole'; readonly bytes: Buffer }
+  | { readonly kind: 'whole'; readonly bytes: Buffer; readonly holding?: Holding }
   | { readonly kind: 'stream'; readonly stream: Readable };
 
 /** Reason for which an exchange failed. */
@@ -19,7 +21,11 @@
   | 'timeout'
   | 'cancelled'
   /** The upstream has announced that it wants no request while this one waited to be sent. */
-  | 'held-back';
+  | 'held-back'
+  /** The host had no memory for the answer. */
+  | 'memory-short'
+  /** The same, and the upstream held more than its share of the memory. */
+  | 'held-too-much';
 
 /** Result of an exchange. */
 export type ExchangeResult =
@@ -50,4 +56,8 @@
   /** When the exchange fails with `timeout`. */
   readonly deadline: Instant;
   readonly signal: AbortSignal;
+  /** The caller whom the answer is for. */
+  readonly caller: Peer;
+  /** Aborted when the caller's request is over, so that nothing is held for it any more. */
+  readonly requestEnded: AbortSignal;
 }
--- a/src/gateway/sending/gateway-reply.ts
+++ b/src/gateway/sending/gateway-reply.ts
@@ -26,9 +26,11 @@
 export const hasNotRun = ({ kind }: GatewayReply): boolean =>
   kind === 'refused' || kind === 'over-quota';
 
-/** Destroys the body stream of an answer that nobody reads, which frees its connection. */
+/** Lets go of an answer that nobody reads; the end of its stream frees its connection. */
 export const discardAnswer = (
   reply: GatewayReply | { readonly kind: 'no-route' | 'unauthorized' },
 ): void => {
-  if (reply.kind === 'answer' && reply.body.kind === 'stream') reply.body.stream.destroy();
+  if (reply.kind !== 'answer') return;
+  if (reply.body.kind === 'stream') reply.body.stream.destroy();
+  else reply.body.holding?.close();
 };
--- a/src/gateway/sending/peer-relay.ts
+++ b/src/gateway/sending/peer-relay.ts
@@ -4,6 +4,7 @@
 import { headerOf, type AnswerHead } from './answer-parser';
 import { ConnectionPool, type ConnectionTarget } from './connection-pool';
 import type { GatewayContext } from '../context';
+import type { ConnectionContext } from './upstream-connection';
 import type { CallerRequest } from '../request/caller-request';
 import { encodeRequest } from './forwarding';
 import { hasNotRun, type GatewayReply } from './gateway-reply';
@@ -92,9 +93,10 @@
 
   constructor(
     private readonly context: GatewayContext,
+    connections: ConnectionContext,
     private readonly ports: PeerRelayPorts,
   ) {
-    this.pool = new ConnectionPool(context.headerConventions.requestId, context.clock, () => {});
+    this.pool = new ConnectionPool('gateway', connections, () => {});
   }
 
   /** Offers the request to one peer after the other until one has taken it. */
@@ -171,6 +173,8 @@
       maySend: () => true,
       deadline,
       signal,
+      caller: request.caller,
+      requestEnded: request.signal,
       idempotent,
     });
     return this.offerOf(result);
--- a/src/gateway/sending/upstream-connection.ts
+++ b/src/gateway/sending/upstream-connection.ts
@@ -1,11 +1,14 @@
 import net from 'node:net';
-import { PassThrough } from 'node:stream';
 
 import { guarded } from '../../adapters/guarded';
+import { HeldBytes } from '../../adapters/held-bytes';
+import { headCostOf, unfinishedHeadCostOf, type Peer } from '../../core/memory';
 import type { Endpoint, Instant, Millis } from '../../model';
 import type { Clock } from '../../ports';
 
+import type { Holding, HostMemory } from '../memory';
 import { AnswerParser, headerOf, type AnswerHead } from './answer-parser';
+import { AnswerStream } from './answer-stream';
 import type { Exchange, ExchangeFault, ExchangeResult } from './exchange';
 
 /**
@@ -27,6 +30,32 @@
 /** Time in milliseconds by which a connection is given up before the upstream would close it. */
 const IDLE_MARGIN_MS: Millis = 1000;
 const MILLIS_PER_SECOND = 1000;
+/** Number of bytes that are parsed at once, and how many more while they come in large pieces. */
+const MIN_SLICE_BYTES = 2 * 1024;
+const MAX_SLICE_BYTES = 16 * 1024;
+/** Number of pieces of an answer, such as chunks, up to which a slice is cheap. */
+const MAX_CHEAP_PIECES = 64;
+/** Number of pieces that are read of an answer before it waits for its turns. */
+const MAX_PIECES_AT_ONCE = 512;
+
+/** Ends a count at the latest when the request is over for which the bytes are held. */
+const closeWhen = (over: AbortSignal, holding: Holding): void => {
+  if (over.aborted) holding.close();
+  over.addEventListener(
+    'abort',
+    guarded('upstream-connection abort', () => holding.close()),
+    { once: true },
+  );
+};
+
+/** What the connections of a pool share. */
+export interface ConnectionContext {
+  readonly idHeader: string;
+  readonly clock: Clock;
+  readonly memory: HostMemory;
+  /** Reads answers in turn whose pieces are small. */
+  readonly turns: { add(read: () => boolean): void };
+}
 
 /** Returns the milliseconds for which a connection may be reused after an answer with this head. */
 const idleTimeOf = (head: AnswerHead): Millis => {
@@ -35,15 +64,20 @@
   return Math.max(0, Number(match[1]) * MILLIS_PER_SECOND - IDLE_MARGIN_MS);
 };
 
+const NOTHING = Buffer.alloc(0);
+
 /** The exchange in progress on a connection, with what has been read of its answer. */
 interface RunningExchange {
   readonly exchange: Exchange;
   readonly resolve: (result: ExchangeResult) => void;
   readonly stopTimers: () => void;
+  /** Counts what is held; for the upstream, and for the caller once the answer is streamed. */
+  holding: Holding;
   head?: AnswerHead;
-  chunks: Buffer[];
-  size: number;
-  stream?: PassThrough;
+  /** Bytes of the heap that the head takes, as the account counts them. */
+  headBytes: number;
+  readonly held: HeldBytes;
+  stream?: AnswerStream;
 }
 
 /**
@@ -81,17 +115,29 @@
   /** Numbers of bytes received in the current exchange: all, the answer's body, and skipped ones. */
   private received = { all: 0, body: 0, skipped: 0 };
 
+  /** Number of pieces that have been parsed in the current exchange. */
+  private pieces = 0;
+
+  /** What has been received and not been parsed yet. */
+  private unread: Buffer = NOTHING;
+
+  private sliceBytes = MIN_SLICE_BYTES;
+
+  private hasEnded = false;
+
+  private hasClosed = false;
+
   constructor(
     endpoint: Endpoint,
-    private readonly idHeader: string,
-    private readonly clock: Clock,
+    private readonly peer: Peer,
+    private readonly context: ConnectionContext,
     private readonly onAnswerHead: (head: AnswerHead) => void,
     private readonly onIdle: (connection: UpstreamConnection) => void,
     private readonly onClose: (connection: UpstreamConnection) => void,
   ) {
     this.parser = new AnswerParser({
       onHead: (head) => this.onHead(head),
-      onBody: (chunk) => this.onBody(chunk),
+      onBody: (bytes, start, end) => this.onBody(bytes, start, end),
       onEnd: (hasMore) => this.onEnd(hasMore),
     });
     this.socket = net.connect({ host: endpoint.address, port: endpoint.port, noDelay: true });
@@ -109,10 +155,7 @@
     this.socket.on('error', guarded('upstream-connection error', end));
     this.socket.on(
       'close',
-      guarded('upstream-connection close', () => {
-        this.fail(this.connected ? 'reset' : 'connect-failed');
-        this.onClose(this);
-      }),
+      guarded('upstream-connection close', () => this.onSocketClose()),
     );
   }
 
@@ -127,10 +170,11 @@
    */
   run(exchange: Exchange, connectBy: Instant): Promise<ExchangeResult> {
     this.received = { all: 0, body: 0, skipped: 0 };
+    this.pieces = 0;
     this.isFirst = !this.connected;
-    this.idleFor = this.connected ? this.clock.now() - this.idleSince : 0;
+    this.idleFor = this.connected ? this.context.clock.now() - this.idleSince : 0;
     return new Promise((resolve) => {
-      const giveUp = (why: 'timeout' | 'cancelled' | 'connect-timeout'): void => {
+      const giveUp = (why: ExchangeFault): void => {
         this.fail(why);
         this.close();
       };
@@ -146,7 +190,7 @@
               }),
             ),
           ),
-          Math.max(0, deadline - this.clock.now()),
+          Math.max(0, deadline - this.context.clock.now()),
         );
       const timer = until(exchange.deadline, 'timeout');
       const connectTimer = this.connected ? undefined : until(connectBy, 'connect-timeout');
@@ -160,8 +204,11 @@
           clearTimeout(connectTimer);
           exchange.signal.removeEventListener('abort', onAbort);
         },
-        chunks: [],
-        size: 0,
+        holding: this.context.memory.open(this.peer, (isOverShare) =>
+          giveUp(isOverShare ? 'held-too-much' : 'memory-short'),
+        ),
+        headBytes: 0,
+        held: new HeldBytes(),
       };
       if (exchange.signal.aborted) giveUp('cancelled');
       else if (this.connected) this.send(exchange);
@@ -203,12 +250,73 @@
       this.close();
       return;
     }
-    this.received.all += chunk.length;
-    if (this.parser.parse(chunk) && !this.isExcessive) return;
+    const isWaiting = this.unread.length > 0;
+    this.unread = isWaiting ? Buffer.concat([this.unread, chunk]) : chunk;
+    if (!isWaiting && this.readAtOnce()) this.waitForTurns();
+  }
+
+  /** Reads on as long as that is cheap; returns whether more waits. */
+  private readAtOnce(): boolean {
+    const before = this.pieces;
+    while (this.unread.length > 0) {
+      const piecesBefore = this.pieces;
+      this.readSlice();
+      const isCheap = this.pieces - piecesBefore <= MAX_CHEAP_PIECES;
+      this.sliceBytes = isCheap ? Math.min(MAX_SLICE_BYTES, 2 * this.sliceBytes) : MIN_SLICE_BYTES;
+      if (!isCheap && this.pieces - before > MAX_PIECES_AT_ONCE) break;
+    }
+    return this.unread.length > 0;
+  }
+
+  /** Reads the rest in turn with other peers whose bytes are expensive. */
+  private waitForTurns(): void {
+    this.socket.pause();
+    this.context.turns.add(() => {
+      this.readSlice();
+      if (this.unread.length > 0) return true;
+      this.resumeReading();
+      if (this.hasEnded) this.onSocketEnd();
+      if (this.hasClosed) this.onSocketClose();
+      return false;
+    });
+  }
+
+  /** Parses the next bytes. */
+  private readSlice(): void {
+    const slice = this.unread.subarray(0, this.sliceBytes);
+    this.unread = this.unread.subarray(slice.length);
+    if (this.unread.length === 0) this.unread = NOTHING;
+    if (!this.running) {
+      this.close();
+      return;
+    }
+    this.received.all += slice.length;
+    if (this.parser.parse(slice, this.unread.length > 0) && !this.isExcessive) {
+      this.countHeld();
+      return;
+    }
     this.fail('malformed');
     this.close();
   }
 
+  /** Counts what is held of the answer, and passes on what can be. */
+  private countHeld(): void {
+    const { running } = this;
+    if (!running) return;
+    running.stream?.passOn();
+    const { memory } = this.context;
+    // What has arrived of a head is in the heap.
+    const framing = running.head
+      ? running.headBytes
+      : memory.heapBytes(unfinishedHeadCostOf(this.received.all));
+    if (!running.holding.resize(framing + running.held.length)) return;
+    if (running.stream?.isFull) this.socket.pause();
+  }
+
+  private resumeReading(): void {
+    if (this.unread.length === 0 && !this.running?.stream?.isFull) this.socket.resume();
+  }
+
   /** Whether the upstream has sent more than an answer may have beside its body. */
   private get isExcessive(): boolean {
     const { all, body, skipped } = this.received;
@@ -216,8 +324,18 @@
     return framing > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * body || skipped > MAX_SKIPPED_BYTES;
   }
 
-  /** Handles the end of the bytes from the upstream. */
+  /** Handles the end of the connection, once all that has been received is read. */
+  private onSocketClose(): void {
+    this.hasClosed = true;
+    if (this.running && this.unread.length > 0) return;
+    this.fail(this.connected ? 'reset' : 'connect-failed');
+    this.onClose(this);
+  }
+
+  /** Handles the end of the bytes from the upstream, once they are read. */
   private onSocketEnd(): void {
+    this.hasEnded = true;
+    if (this.unread.length > 0) return;
     if (this.isReset) {
       this.fail('reset');
       this.close();
@@ -245,30 +363,27 @@
       this.skippingAnswer = true;
       return;
     }
-    const id = headerOf(head.rawHeaders, this.idHeader);
+    const id = headerOf(head.rawHeaders, this.context.idHeader);
     if (id !== undefined && id !== running.exchange.requestId) {
       this.unusable = true;
       this.skippingAnswer = true;
       return;
     }
     running.head = head;
+    running.headBytes = this.context.memory.heapBytes(headCostOf(head.rawHeaders));
     if (head.length !== undefined && head.length > MAX_HELD_ANSWER_BYTES)
       this.startStream(running, head);
   }
 
-  private onBody(chunk: Buffer): void {
+  private onBody(bytes: Buffer, start: number, end: number): void {
     const { running } = this;
-    if (this.skippingAnswer) this.received.skipped += chunk.length;
+    this.pieces += 1;
+    if (this.skippingAnswer) this.received.skipped += end - start;
     if (this.skippingAnswer || !running?.head) return;
-    this.received.body += chunk.length;
-    if (running.stream) {
-      if (!running.stream.write(chunk)) this.socket.pause();
-      return;
-    }
-    // The chunk is a view of the socket's buffer; no copy is needed, as that is not reused.
-    running.chunks.push(chunk);
-    running.size += chunk.length;
-    if (running.size > MAX_HELD_ANSWER_BYTES) this.startStream(running, running.head);
+    this.received.body += end - start;
+    running.held.push(bytes, start, end);
+    if (!running.stream && running.held.length > MAX_HELD_ANSWER_BYTES)
+      this.startStream(running, running.head);
   }
 
   private onEnd(hasMore: boolean): void {
@@ -281,20 +396,22 @@
     const { head } = running;
     this.running = undefined;
     running.stopTimers();
+    const { holding } = running;
     if (running.stream) {
-      running.stream.end();
-      // A stream that has ended drains without an event.
+      running.stream.finish();
+      // What the stream still holds no longer stops the connection.
       this.socket.resume();
-    } else {
-      const bytes = Buffer.concat(running.chunks, running.size);
+    } else if (holding.resize(running.headBytes + running.held.length)) {
       const { isFirst } = this;
-      running.resolve({ kind: 'answered', head, body: { kind: 'whole', bytes }, isFirst });
+      const body = { kind: 'whole', bytes: running.held.take(), holding } as const;
+      closeWhen(running.exchange.requestEnded, holding);
+      running.resolve({ kind: 'answered', head, body, isFirst });
     }
     if (hasMore || !head.keepsAlive || this.unusable) {
       this.close();
       return;
     }
-    this.idleSince = this.clock.now();
+    this.idleSince = this.context.clock.now();
     this.usableUntil = this.idleSince + idleTimeOf(head);
     this.onIdle(this);
   }
@@ -304,17 +421,21 @@
    * off.
    */
   private startStream(running: RunningExchange, head: AnswerHead): void {
-    const stream = new PassThrough();
-    running.chunks.forEach((chunk) => stream.write(chunk));
-    this.running = { ...running, chunks: [], stream };
-    const { exchange } = running;
-    stream.on(
-      'drain',
-      guarded('upstream-connection drain', () => this.socket.resume()),
-    );
+    const { exchange, held, headBytes, holding: collected } = running;
+    const { memory } = this.context;
+    // From here on the caller decides for how long bytes are held.
+    collected.close();
+    const stream = new AnswerStream(held);
+    const holding = memory.open(exchange.caller, () => stream.destroy(new Error('memory-short')));
+    stream.onTaken = () => {
+      holding.resize(headBytes + held.length);
+      if (this.running?.exchange === exchange) this.resumeReading();
+    };
+    this.running = { ...running, stream, holding };
     stream.on(
       'close',
       guarded('upstream-connection close', () => {
+        holding.close();
         if (this.running?.exchange === exchange) this.close();
       }),
     );
@@ -330,6 +451,7 @@
     if (!running) return;
     this.running = undefined;
     running.stopTimers();
+    running.holding.close();
     running.stream?.destroy(new Error(why));
     running.resolve({
       kind: 'failed',
--- a/test/core/memory/memory-account.test.ts
+++ b/test/core/memory/memory-account.test.ts
@@ -1,22 +1,34 @@
 import { expect } from 'earl';
 import { describe, it } from 'node:test';
 
-import { bufferLimitOf, MemoryAccount } from '../../../src/core/memory';
+import { bufferLimitOf, MemoryAccount, type Peer } from '../../../src/core/memory';
 
 const MEBIBYTE = 2 ** 20;
 
+interface Holder {
+  readonly name: string;
+  readonly peer: Peer;
+}
+
+/** Returns an account in which holders of a connection each hold these bytes, in order. */
 const accountOf = (
   limit: number,
-  holders: Readonly<Record<string, number>>,
-): MemoryAccount<string> => {
-  const account = new MemoryAccount<string>(() => limit);
-  Object.entries(holders).forEach(([holder, bytes]) => {
-    account.open(holder);
-    account.add(holder, bytes);
-  });
-  return account;
+  bytes: Readonly<Record<string, number>>,
+): { readonly account: MemoryAccount<Holder>; readonly holders: readonly Holder[] } => {
+  const account = new MemoryAccount<Holder>(() => limit);
+  const holders = Object.keys(bytes).map((name): Holder => ({
+    name,
+    peer: { kind: 'caller', id: name },
+  }));
+  holders.forEach((holder) => account.resize(holder, bytes[holder.name] ?? 0));
+  return { account, holders };
 };
 
+const holderOf = (kind: Peer['kind'], id: string, name: string): Holder => ({
+  name,
+  peer: { kind, id },
+});
+
 describe('the memory account', () => {
   /** Guards against a process that is killed on a small host, or has no room on a large one. */
   it('has a limit that follows the memory of the host', () => {
@@ -28,28 +40,49 @@
   });
 
   it('has room for large bodies below four fifths of the limit, and is over it beyond', () => {
-    const account = accountOf(100, { a: 49 });
+    const { account, holders } = accountOf(100, { a: 49 });
+    const [a] = holders as readonly [Holder];
     expect([account.hasRoomFor(30), account.hasRoomFor(31)]).toEqual([true, false]);
-    account.add('a', 51);
+    account.resize(a, 100);
     expect([account.hasRoomFor(1), account.isOverLimit]).toEqual([false, false]);
-    account.add('a', 1);
+    account.resize(a, 101);
     expect(account.isOverLimit).toEqual(true);
   });
 
   /** Guards against new callers that pay for what others hold. */
   it('names the largest holder, the oldest of several, but not the newest', () => {
-    expect(accountOf(100, { a: 10, b: 30, c: 30, d: 40 }).largestHolder()).toEqual('b');
-    expect(accountOf(100, { a: 0, b: 10 }).largestHolder()).toEqual('b');
-    expect(accountOf(100, { a: 0 }).largestHolder()).toEqual(undefined);
+    const largestOf = (bytes: Readonly<Record<string, number>>): string | undefined =>
+      accountOf(100, bytes).account.largestHolder()?.name;
+    expect(largestOf({ a: 10, b: 30, c: 30, d: 40 })).toEqual('b');
+    expect(largestOf({ a: 0, b: 10 })).toEqual('b');
+    expect(largestOf({ a: 0 })).toEqual(undefined);
+  });
+
+  /** Guards against callers that pay for an upstream which holds little in each of many answers. */
+  it('names the largest holder of the peer that holds most in all', () => {
+    const { account } = accountOf(100, { a: 30, b: 25 });
+    ['x', 'y', 'z'].forEach((name, i) =>
+      account.resize(holderOf('upstream', 'u', name), 15 + (i % 2)),
+    );
+    account.resize(holderOf('caller', 'late', 'late'), 1);
+    expect(account.largestHolder()?.name).toEqual('y');
+    expect(account.bytesOfKind('upstream')).toEqual(46);
+    expect(account.bytesOfKind('caller')).toEqual(56);
+  });
+
+  it('gives all that hold something the same share', () => {
+    const { account, holders } = accountOf(100, { a: 10, b: 60 });
+    const [a, b] = holders as readonly [Holder, Holder];
+    expect([account.isWithinShare(a, 40), account.isWithinShare(a, 41)]).toEqual([true, false]);
+    expect(account.isWithinShare(b, 0)).toEqual(false);
   });
 
   /** Guards against a count that drifts when bytes are released twice or after a disconnection. */
   it('counts back to zero', () => {
-    const account = accountOf(100, { a: 10, b: 20 });
-    account.release('a', 15);
-    account.close('b');
-    account.release('b', 20);
-    account.add('b', 5);
+    const { account, holders } = accountOf(100, { a: 10, b: 20 });
+    holders.forEach((holder) => account.resize(holder, 0));
+    holders.forEach((holder) => account.resize(holder, 0));
     expect(account.total).toEqual(0);
+    expect(account.largestHolder()).toEqual(undefined);
   });
 });
--- a/test/gateway/broken-heads.test.ts
+++ b/test/gateway/broken-heads.test.ts
@@ -5,7 +5,7 @@
 import { ConnectionPool, type ConnectionTarget } from '../../src/gateway/sending/connection-pool';
 import type { ExchangeResult } from '../../src/gateway/sending/exchange';
 
-import { GatewayHarness, routeOf } from './harness';
+import { connectionContext, GatewayHarness, routeOf, SOME_CALLER } from './harness';
 
 const ID_HEADER = 'X-Redwingmount-Request-Id';
 const SIGNED = 'X-Redwingmount-Response-Signature: s';
@@ -76,6 +76,7 @@
         deadline: performance.now() + 60_000,
         signal: new AbortController().signal,
         idempotent: true,
+        ...SOME_CALLER,
       },
     );
 
@@ -86,7 +87,11 @@
         let length = 0;
         const port = await startUpstream(() => whole.slice(0, length), end);
         const clock = { now: () => performance.now(), wall: () => Date.now() };
-        const pool = new ConnectionPool<ConnectionTarget>(ID_HEADER.toLowerCase(), clock, () => {});
+        const pool = new ConnectionPool<ConnectionTarget>(
+          'upstream',
+          connectionContext(ID_HEADER.toLowerCase(), clock),
+          () => {},
+        );
         closers.push(() => pool.close());
         for (length = 0; length < whole.length; length++) {
           const method = length % 2 === 0 ? 'GET' : 'HEAD';
--- a/test/gateway/caller-server-scene.ts
+++ b/test/gateway/caller-server-scene.ts
@@ -6,7 +6,7 @@
 import { ArrivalTimes } from '../../src/gateway/arriving/arrival-times';
 import { CallerServer } from '../../src/gateway/arriving/caller-server';
 import type { CallerRequest } from '../../src/gateway/request/caller-request';
-import { MemoryGuard } from '../../src/gateway/arriving/memory-guard';
+import { HostMemory } from '../../src/gateway/memory';
 import { ServingTurns } from '../../src/gateway/arriving/serving-turns';
 import type { CallerReply } from '../../src/gateway/arriving/replies';
 
@@ -74,7 +74,7 @@
 export class CallerServerScene {
   readonly telemetry = recordingTelemetry();
 
-  readonly memory: MemoryGuard;
+  readonly memory: HostMemory;
 
   readonly arrivals: ArrivalTimes;
 
@@ -98,7 +98,7 @@
     const parsed = parseSettings('test', settingsText(8000, 9000)).unsafeCoerce();
     const settings = { ...parsed, limits: { ...parsed.limits, memoryBytes: HOST_MEMORY_BYTES } };
     const { telemetry } = this;
-    this.memory = new MemoryGuard({ settings, telemetry, clock: systemClock });
+    this.memory = new HostMemory({ settings, telemetry, clock: systemClock });
     this.arrivals = new ArrivalTimes({ clock: systemClock, telemetry });
     this.caller = new CallerServer(
       { settings, clock: systemClock, telemetry, headerConventions, random: () => 0 },
--- a/test/gateway/callers-leave.test.ts
+++ b/test/gateway/callers-leave.test.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import { PassThrough } from 'node:stream';
 import { afterEach, describe, it } from 'node:test';
+import { requestCostOf } from '../../src/core/memory';
 
 import type { CallerRequest } from '../../src/gateway/request/caller-request';
 import type { CallerReply } from '../../src/gateway/arriving/replies';
@@ -186,7 +187,11 @@
     );
     const socket = scene.connect(bodies.join(''));
     await until(() => served.length === 4);
-    expect(memory.total).toEqual(4000);
+    const rawHeaders = requestText('q0', ['Content-Length: 1000'])
+      .split('\r\n')
+      .slice(1)
+      .flatMap((line) => (line === '' ? [] : line.split(': ')));
+    expect(memory.total).toEqual(4 * (1000 + requestCostOf(rawHeaders)));
     socket.destroy();
     await until(() => memory.total === 0);
   });
--- a/test/gateway/connection-pool.test.ts
+++ b/test/gateway/connection-pool.test.ts
@@ -7,6 +7,7 @@
 import type { GatewayUpstream } from '../../src/model';
 
 import { block } from './callers-while-blocked';
+import { connectionContext, SOME_CALLER } from './harness';
 
 const ID_HEADER = 'x-request-id';
 const TIMEOUT_MS = 200;
@@ -36,7 +37,7 @@
   });
 
   it('closes a connection in use at its end if its upstream has left meanwhile', async () => {
-    const pool = new ConnectionPool(ID_HEADER, clock, () => {});
+    const pool = new ConnectionPool('upstream', connectionContext(ID_HEADER, clock), () => {});
     const { port } = server.address() as AddressInfo;
     const upstream: GatewayUpstream = {
       id: 'u',
@@ -61,6 +62,7 @@
         deadline: clock.now() + 5000,
         signal: new AbortController().signal,
         idempotent: true,
+        ...SOME_CALLER,
       });
     };
     const first = run();
@@ -77,7 +79,7 @@
   });
 
   it('sends nothing on a new connection if the request is held back meanwhile', async () => {
-    const pool = new ConnectionPool(ID_HEADER, clock, () => {});
+    const pool = new ConnectionPool('upstream', connectionContext(ID_HEADER, clock), () => {});
     const { port } = server.address() as AddressInfo;
     let requests = 0;
     server.on('request', () => {
@@ -103,6 +105,7 @@
         deadline: clock.now() + 5000,
         signal: new AbortController().signal,
         idempotent: false,
+        ...SOME_CALLER,
       },
     );
     expect(result).toEqual({ kind: 'failed', why: 'held-back', sent: false, idleFor: 0 });
@@ -120,7 +123,7 @@
       upstream.listen(0, '127.0.0.1', resolve);
     });
     const { port } = upstream.address() as AddressInfo;
-    const pool = new ConnectionPool(ID_HEADER, clock, () => {});
+    const pool = new ConnectionPool('upstream', connectionContext(ID_HEADER, clock), () => {});
     const target = { id: 'v', born: 1, endpoint: { address: '127.0.0.1', port } };
     const result = await pool.run(target as GatewayUpstream, {
       requestId: undefined,
@@ -130,6 +133,7 @@
       deadline: clock.now() + TIMEOUT_MS,
       signal: new AbortController().signal,
       idempotent: true,
+      ...SOME_CALLER,
     });
     pool.close();
     upstream.close();
--- a/test/gateway/crash-exchange.test.ts
+++ b/test/gateway/crash-exchange.test.ts
@@ -29,6 +29,7 @@
   readAt: 0,
   deadline: 1000,
   signal: new AbortController().signal,
+  caller: { kind: 'caller', id: 'c' },
 });
 
 const memberOf = (index: number): Member => ({
--- a/test/gateway/endless-answers.test.ts
+++ b/test/gateway/endless-answers.test.ts
@@ -7,7 +7,7 @@
 import type { ExchangeResult } from '../../src/gateway/sending/exchange';
 import { startEndlessUpstream, type EndlessUpstream } from '../../standins/platform';
 
-import { GatewayHarness, routeOf } from './harness';
+import { connectionContext, GatewayHarness, routeOf, SOME_CALLER } from './harness';
 
 const ID_HEADER = 'x-redwingmount-request-id';
 const DEADLINE_MS = 1500;
@@ -52,7 +52,7 @@
 
   const exchange = async (): Promise<{ result: ExchangeResult; pool: ConnectionPool }> => {
     const clock = { now: () => performance.now(), wall: () => Date.now() };
-    const pool = new ConnectionPool(ID_HEADER, clock, () => {});
+    const pool = new ConnectionPool('upstream', connectionContext(ID_HEADER, clock), () => {});
     const result = await pool.run(
       {
         id: 'u',
@@ -73,6 +73,7 @@
         deadline: clock.now() + DEADLINE_MS,
         signal: new AbortController().signal,
         idempotent: true,
+        ...SOME_CALLER,
       },
     );
     return { result, pool };
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -14,8 +14,11 @@
 } from '../../platform';
 import { systemClock } from '../../src/adapters';
 import { Gateway } from '../../src/gateway';
+import { ReadingTurns } from '../../src/gateway/arriving';
+import { HostMemory } from '../../src/gateway/memory';
+import type { ConnectionContext } from '../../src/gateway/sending/upstream-connection';
 import type { DisabledMechanisms } from '../../src/model';
-import type { EventField, Telemetry } from '../../src/ports';
+import type { Clock, EventField, Telemetry } from '../../src/ports';
 import {
   startPlatformUpstream,
   startStore,
@@ -53,6 +56,12 @@
   };
 };
 
+/** A caller of exchanges whose request does not end. */
+export const SOME_CALLER = {
+  caller: { kind: 'caller', id: 'c' },
+  requestEnded: new AbortController().signal,
+} as const;
+
 const BOUNDS = [
   'drainMs=2000',
   'graceS=3',
@@ -87,6 +96,13 @@
     `address = "${ADDRESS}:${storePort}"`,
   ].join('\n');
 
+/** Returns what connections share, with an account of its own and turns that follow at once. */
+export const connectionContext = (idHeader: string, clock: Clock): ConnectionContext => {
+  const settings = parseSettings('test', settingsText(8000, 9000)).unsafeCoerce();
+  const memory = new HostMemory({ settings, clock, telemetry: recordingTelemetry() });
+  return { idHeader, clock, memory, turns: new ReadingTurns(clock) };
+};
+
 /** Returns a route as it stands in a configuration of the operators. */
 export const routeOf = (
   pathPrefix: string,
--- a/test/gateway/memory.test.ts
+++ b/test/gateway/memory.test.ts
@@ -7,7 +7,7 @@
 import { ServingTurns } from '../../src/gateway/arriving/serving-turns';
 import { ArrivalTimes } from '../../src/gateway/arriving/arrival-times';
 import { CallerServer } from '../../src/gateway/arriving/caller-server';
-import { MemoryGuard } from '../../src/gateway/arriving/memory-guard';
+import { HostMemory } from '../../src/gateway/memory';
 
 import { recordingTelemetry, settingsText } from './harness';
 
@@ -35,13 +35,13 @@
   timeout?: number,
 ): Promise<{
   readonly port: number;
-  readonly memory: MemoryGuard;
+  readonly memory: HostMemory;
   readonly telemetry: ReturnType<typeof recordingTelemetry>;
 }> => {
   const parsed = parseSettings('test', settingsText(8000, 9000)).unsafeCoerce();
   const settings = { ...parsed, limits: { ...parsed.limits, memoryBytes: HOST_MEMORY_BYTES } };
   const telemetry = recordingTelemetry();
-  const memory = new MemoryGuard({ settings, telemetry, clock: systemClock });
+  const memory = new HostMemory({ settings, telemetry, clock: systemClock });
   const { server } = new CallerServer(
     { settings, clock: systemClock, telemetry, headerConventions, random: () => 0 },
     {
--- a/test/gateway/peer-relay.test.ts
+++ b/test/gateway/peer-relay.test.ts
@@ -11,7 +11,7 @@
 import { decodeRelayTerms, RELAY_HEADERS } from '../../src/gateway/request/relay-headers';
 import type { Member } from '../../src/model';
 
-import { recordingTelemetry, settingsText } from './harness';
+import { connectionContext, SOME_CALLER, recordingTelemetry, settingsText } from './harness';
 
 const breaksOff: RequestListener = (req) => req.socket.destroy();
 const refuses =
@@ -61,6 +61,7 @@
     const telemetry = recordingTelemetry();
     const peerRelay = new PeerRelay(
       { settings, clock: systemClock, telemetry, headerConventions, random: Math.random },
+      connectionContext(headerConventions.requestId, systemClock),
       {
         peersFor: () => members,
         config: () => ({ version: 3, isEverywhere }),
@@ -81,6 +82,7 @@
       readAt: systemClock.now(),
       deadline,
       signal,
+      caller: SOME_CALLER.caller,
     };
     const result = await peerRelay.run({
       request,
--- a/test/gateway/streamed-connection.test.ts
+++ b/test/gateway/streamed-connection.test.ts
@@ -6,6 +6,7 @@
 
 import { ConnectionPool } from '../../src/gateway/sending/connection-pool';
 import type { ExchangeResult } from '../../src/gateway/sending/exchange';
+import { connectionContext, SOME_CALLER } from './harness';
 
 const STREAMED_BYTES = 3 * 2 ** 20;
 const ROUNDS = 10;
@@ -37,7 +38,7 @@
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
     });
-    pool = new ConnectionPool('x-request-id', clock, () => {});
+    pool = new ConnectionPool('upstream', connectionContext('x-request-id', clock), () => {});
   });
   afterEach(() => {
     pool.close();
@@ -60,6 +61,7 @@
         deadline: clock.now() + 1000,
         signal: new AbortController().signal,
         idempotent: true,
+        ...SOME_CALLER,
       },
     );
 
