--- a/src/cli/version.ts
+++ b/src/cli/version.ts
@@ -1,4 +1,4 @@
-/** Replaced with the package's version by scripts/build.mjs. */
+/** Replaced with the package's version by scripts/bundle.mjs. */
 declare const REDWINGMOUNT_VERSION: string | undefined;
 
 /** Returns the version of this program; `source` if it runs from source and was not built. */
