Test a claim after its deadline in mocked time

Cause: the test's own set-up. It sends a key of range 40 to open the ranges, while the late call's key is of range 60; n2 owns both, and the calls go to n1. If n2's first record of range 60 is sent after the log has begun to hold appends, n1 reads an empty range, which waits 250 ms for a record; the call leaves after 100 ms without a claim (its answer is the expected one), and n1 drops the idle range at its next tick. The range then gets one record and never the two that the test waits for. It also counted records rather than claims, so that it could pass without a claim. The product is right.

Change: the test runs in mocked time, where no load can change the order. It opens the ranges first, asks whether the claim itself is in the log, not there at the answer and there later, and doesn't wait without end.

Red as it should be, at its checks, if a won claim runs without a waiting call, if a call that leaves is answered not-run, and without the ranges opened.

--- a/test/promises/at-most-once.test.ts
+++ b/test/promises/at-most-once.test.ts
@@ -10,6 +10,7 @@
   claimRangeOf,
   claimStream,
   entryId,
+  parseClaimRecord,
   type HandoverMessage,
   type HomesEffect,
   type HomesEvent,
@@ -27,6 +28,7 @@
   bookingCall,
   replyText,
 } from '../fakes/keyed-nodes';
+import { withMockedTime } from '../fakes/mocked-time';
 import { FakePlatformLog } from '../fakes/platform-log';
 import { silentTelemetry } from '../fakes/telemetry';
 
@@ -246,18 +248,33 @@
     });
   });
 
+  /** Returns whether the log of the key's range has a claim. */
+  const isClaimed = (log: FakePlatformLog): boolean => {
+    const records = log.stream(stream).keptValues().map(parseClaimRecord);
+    return records.some((record) => record.unsafeCoerce().claims.length > 0);
+  };
+
   it('neither runs a claim that takes effect after the deadline nor reports it as not-run', async () => {
-    await withClaimants(['n1', 'n2'], async ([one, two], upstream, log) => {
-      await sendCall(one!.serve, bookingCall({ kind: 'bare', key: 'opens the ranges' }));
-      const { runs } = upstream;
-      Object.assign(log, { holdAppends: 100, heldFor: 300 });
-      const answer = await sendCall(one!.serve, expiringIn(bookingCall(key), 100));
-      expect(answer).toEqual('unknown/log-unavailable');
-      Object.assign(log, { holdAppends: 0 });
-      while (log.stream(stream).next < 2) await new Promise(setImmediate);
-      expect(upstream.runs).toEqual(runs);
-      expect(await sendCall(two!.serve, bookingCall(key))).toEqual(`201 booked ${runs + 1} w1`);
-      expect(await sendCall(one!.serve, bookingCall(key))).toEqual(`201 booked ${runs + 1} w1`);
+    await withMockedTime(async (advance) => {
+      await withClaimants(['n1', 'n2'], async ([one, two], upstream, log) => {
+        // Until the range is open, a call waits for longer than its deadline before it is claimed.
+        await advance(1000);
+        Object.assign(log, { holdAppends: 100, heldFor: 300 });
+        const late = sendCall(one!.serve, expiringIn(bookingCall(key), 100));
+        await advance(101);
+        expect(await late).toEqual('unknown/log-unavailable');
+        expect(isClaimed(log)).toEqual(false);
+        Object.assign(log, { holdAppends: 0 });
+        await advance(1000);
+        expect(isClaimed(log)).toEqual(true);
+        expect(upstream.runs).toEqual(0);
+        for (const task of [two!, one!]) {
+          const retry = sendCall(task.serve, bookingCall(key));
+          await advance(2000);
+          expect(await retry).toEqual('201 booked 1 w1');
+        }
+        expect(upstream.runs).toEqual(1);
+      });
     });
   });
 
