Close a connection of a small server whose request carries a body

Cause: these servers answered and read on (req.resume()) for as long as the body came, and Node's parser took each read of 64 KiB, about 10,900 chunks, in one go.

Change: a request with a body is answered with Connection: close, nothing more is read, and the connection closes once the answer is written. As the parser would still take all of the first read, SlicedInput gives it a slice of 2 KiB first and drops the rest.

--- a/src/gateway/arriving/index.ts
+++ b/src/gateway/arriving/index.ts
@@ -4,6 +4,8 @@
 export * from './arrival-times';
 export * from './serving-turns';
 export * from './reading-turns';
+export * from './sliced-input';
+export * from './unused-body';
 export * from './body-reader';
 export * from './idle-timeout';
 export * from './client-errors';
--- a/src/gateway/feeds/feed-relay.ts
+++ b/src/gateway/feeds/feed-relay.ts
@@ -6,6 +6,7 @@
 import type { Telemetry } from '../../ports';
 
 import { closeIdleOnceRead } from '../arriving/idle-timeout';
+import { ignoreBody } from '../arriving/unused-body';
 import { encodeFeedFrame, FEEDS, type FeedFrame, type FeedName } from './feed-frames';
 
 /** Path of the stream of frames; its last part is the version of the frames. */
@@ -82,7 +83,7 @@
         'feed-relay request',
         (req: IncomingMessage, res: ServerResponse) => {
           if (ports.onOtherRequest(req, res)) return;
-          req.resume();
+          ignoreBody(req, res);
           detached('feed-relay', this.subscribe(req.url ?? '', res));
         },
         (req) => req.socket.destroy(),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,6 +23,7 @@
   ReadingTurns,
   RelayServer,
   ServingTurns,
+  sliceInputs,
   WorkspaceAccess,
 } from './arriving';
 import { ConfigInForce, type RequestContext, RequestLog, RequestRouter } from './deciding';
@@ -179,6 +180,7 @@
       () => this.inForce.routes?.config.version,
     );
     [this.callers.server, this.feeds.server].forEach((server) => this.arrivals.watch(server));
+    sliceInputs(this.feeds.server);
     this.relay = new PeerRelay(context, connections, {
       peersFor: (service) => this.fleet.relayPeersOf(service),
       config: () => this.inForce,
