Parse callers' bodies in small pieces a slice in its turn

Cause: Node's parser takes a read whole, about 10,900 chunks of one byte, and reads on at once.

Change: the inputs of the callers' and the peers' port are parsed in slices (SlicedInput), and BodyReader tells it each piece. A body of more than 256 pieces of less than 64 bytes on average is costly: its slices of 2 KiB wait for turns (ReadingTurns: one in a turn of the event loop for all, a tenth of the time), and its socket is stopped meanwhile. A body of fewer or larger pieces is parsed as it comes. Deadlines are kept as they were.

--- a/src/gateway/arriving/body-reader.ts
+++ b/src/gateway/arriving/body-reader.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../../ports';
 
 import type { Holding } from '../memory';
+import { inputOf } from './sliced-input';
 
 /** Size in bytes up to which a body always gets memory. */
 const SMALL_BODY_BYTES = 64 * 1024;
@@ -70,6 +71,7 @@
   /** Begins to read. */
   start(): void {
     const { req } = this;
+    inputOf(req.socket)?.startBody();
     const end = (): void => {
       req.socket.destroy();
     };
@@ -102,6 +104,7 @@
   }
 
   private onChunk(chunk: Buffer): void {
+    inputOf(this.req.socket)?.onPiece(chunk.length);
     if (this.isOver) return;
     this.received += chunk.length;
     this.options.holding.noteProgress();
--- a/src/gateway/arriving/caller-server.ts
+++ b/src/gateway/arriving/caller-server.ts
@@ -16,6 +16,7 @@
 import { deadlineOf, decodeRequest, type CallerRequest } from '../request/caller-request';
 import type { RelayTerms } from '../request/relay-headers';
 import type { ServingTurns } from './serving-turns';
+import { inputOf } from './sliced-input';
 import type { CallerReply } from './replies';
 import { ReplyWriter, type ReplyService } from './reply-writer';
 import { writeUnread } from './unread-reply';
@@ -84,6 +85,7 @@
       guarded(
         'caller-server clientError',
         (err: NodeJS.ErrnoException, socket: Socket) => {
+          inputOf(socket)?.dropPending();
           onClientError(this.context.telemetry, this.connectionOf(socket), err, socket);
         },
         (_, socket) => socket.destroy(),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -179,8 +179,10 @@
       callerService,
       () => this.inForce.routes?.config.version,
     );
-    [this.callers.server, this.feeds.server].forEach((server) => this.arrivals.watch(server));
-    sliceInputs(this.feeds.server);
+    [this.callers.server, this.feeds.server].forEach((server) => {
+      this.arrivals.watch(server);
+      sliceInputs(server, turns);
+    });
     this.relay = new PeerRelay(context, connections, {
       peersFor: (service) => this.fleet.relayPeersOf(service),
       config: () => this.inForce,
