--- a/src/gateway/arriving/index.ts
+++ b/src/gateway/arriving/index.ts
@@ -3,7 +3,6 @@
 export * from './caller-connection';
 export * from './arrival-times';
 export * from './serving-turns';
-export * from './reading-turns';
 export * from './sliced-input';
 export * from './unused-body';
 export * from './body-reader';
--- a/src/gateway/arriving/sliced-input.ts
+++ b/src/gateway/arriving/sliced-input.ts
@@ -3,7 +3,7 @@
 
 import { guarded } from '../../adapters/guarded';
 
-import type { ReadingTurns } from './reading-turns';
+import type { ReadingTurns } from '../reading-turns';
 
 /** Size in bytes of the first slice that is parsed of what has been read from a socket. */
 const FIRST_SLICE_BYTES = 2 * 1024;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -20,7 +20,6 @@
   CallerServer,
   type CallerService,
   PlannedStop,
-  ReadingTurns,
   RelayServer,
   ServingTurns,
   sliceInputs,
@@ -31,6 +30,7 @@
 import { Fleet } from './peers';
 import { listenOnAll } from './listening';
 import { HeapGuard, HostMemory } from './memory';
+import { ReadingTurns } from './reading-turns';
 import { ServiceSchedulers } from './scheduling';
 import { AnnouncementReader, ConnectionPool, PathMonitor, PeerRelay } from './sending';
 import { createDirectoryServer, createMetricsServer, createReadinessServer } from './small-servers';
--- a/src/gateway/arriving/reading-turns.ts
+++ b/src/gateway/reading-turns.ts
@@ -1,7 +1,7 @@
-import { guarded } from '../../adapters/guarded';
-import { TimeShare } from '../../core/waiting';
-import type { Millis } from '../../model';
-import type { Clock } from '../../ports';
+import { guarded } from '../adapters/guarded';
+import { TimeShare } from '../core/waiting';
+import type { Millis } from '../model';
+import type { Clock } from '../ports';
 
 /** Share of the time that expensive reads of all peers together may take. */
 const READING_SHARE = 0.1;
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -14,7 +14,7 @@
 } from '../../platform';
 import { systemClock } from '../../src/adapters';
 import { Gateway } from '../../src/gateway';
-import { ReadingTurns } from '../../src/gateway/arriving';
+import { ReadingTurns } from '../../src/gateway/reading-turns';
 import { HostMemory } from '../../src/gateway/memory';
 import type { ConnectionContext } from '../../src/gateway/sending/upstream-connection';
 import type { DisabledMechanisms } from '../../src/model';
--- a/test/gateway/reading-turns.test.ts
+++ b/test/gateway/reading-turns.test.ts
@@ -2,7 +2,7 @@
 import { describe, it, mock } from 'node:test';
 import { setImmediate as turn } from 'node:timers/promises';
 
-import { ReadingTurns } from '../../src/gateway/arriving/reading-turns';
+import { ReadingTurns } from '../../src/gateway/reading-turns';
 
 /** Waits for a number of turns of the event loop. */
 const turns = async (count: number): Promise<void> => {
--- a/test/gateway/sliced-input.test.ts
+++ b/test/gateway/sliced-input.test.ts
@@ -3,7 +3,7 @@
 import type { Socket } from 'node:net';
 import { afterEach, beforeEach, describe, it } from 'node:test';
 
-import { ReadingTurns } from '../../src/gateway/arriving/reading-turns';
+import { ReadingTurns } from '../../src/gateway/reading-turns';
 import { sliceInputs } from '../../src/gateway/arriving/sliced-input';
 
 import {
