Answer what is served behind an answer that is streamed

Callers that pipeline lost orders that had run: an answer of over 2 MiB is passed on as it comes, and if its upstream ended, reset or fell silent, the end of the connection told the caller so and took the requests behind it along.

Now core/gateway/answer-passing decides, as such an answer arrives:

- Nothing behind it is served: it goes out as it comes.
Requests behind it wait until it has ended, and have not run if it breaks off.
- Something behind it is served: it is held until it is whole, up to 16 MiB in blocks of 64 KiB on the memory account, so that a sound download before pipelined requests is still passed on.
A stop's end answers it at once (502, `stopping`).

An answer without a length gives way as before. Small requests are served ahead as before.

waiting-streams.test.ts began with an answer to the second request before the third and fourth were served, and asked that these were then served; they now wait. It begins with all four at work instead, with its checks unchanged. "Breaks off in its turn ends the connection" had two requests at work behind the answer, whose loss is this fault: with these the answer must now be 502 or 504 and theirs follow, and with none at work the connection ends and none behind is served.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -3,6 +3,7 @@
 export * from './owners';
 export * from './fleet-retry-budget';
 export * from './attempt-outcome';
+export * from './answer-passing';
 export * from './lapsed-registrations';
 export * from './feed-readers';
 export * from './feed-history';
--- a/src/gateway/arriving/caller-connection.ts
+++ b/src/gateway/arriving/caller-connection.ts
@@ -99,6 +99,8 @@
   respond?: () => void;
   /** Whether it is served, or has been. */
   isServed?: boolean;
+  /** Whether its answer may still break off, and end the connection, once it is begun. */
+  mayBreakOff?: boolean;
 }
 
 /** Ends exchanges, the last ones first, so that none that waits is served in the place of one. */
@@ -198,10 +200,13 @@
     return true;
   }
 
-  /** Calls `serve` at once or when few enough requests are served; never once it is settled. */
+  /**
+   * Calls `serve` at once, or when few enough requests are served and no answer before it may break
+   * off; never once it is settled.
+   */
   serve(exchange: CallerExchange, serve: () => void): void {
     if (exchange.isSettled) return;
-    if (this.servedCount >= MAX_SERVED_COUNT) {
+    if (this.mustWait(exchange)) {
       this.waiting.push({ exchange, serve });
       return;
     }
@@ -210,12 +215,33 @@
     if (found) found.isServed = true;
     exchange.onEnd(() => {
       this.servedCount -= 1;
-      const next = this.waiting.shift();
-      if (next) this.serve(next.exchange, next.serve);
+      this.serveWaiting();
     });
     serve();
   }
 
+  /** Has the requests behind that of this exchange wait until it ends, unless they are served. */
+  holdBehind(exchange: CallerExchange): void {
+    const found = this.open.find((open) => open.exchange === exchange);
+    if (found) found.mayBreakOff = true;
+  }
+
+  private mustWait(exchange: CallerExchange): boolean {
+    if (this.servedCount >= MAX_SERVED_COUNT) return true;
+    const at = this.open.findIndex((open) => open.exchange === exchange);
+    return this.open.slice(0, Math.max(0, at)).some(({ mayBreakOff }) => mayBreakOff);
+  }
+
+  /** Serves the requests that need not wait any more. */
+  private serveWaiting(): void {
+    for (;;) {
+      const [next] = this.waiting;
+      if (!next || this.mustWait(next.exchange)) return;
+      this.waiting.shift();
+      this.serve(next.exchange, next.serve);
+    }
+  }
+
   /**
    * Calls `respond` once all earlier requests are answered; never if the exchange ends before, or if
    * the request has another reply.
--- a/src/gateway/sending/index.ts
+++ b/src/gateway/sending/index.ts
@@ -9,3 +9,4 @@
 export * from './crash-check';
 export * from './path-monitor';
 export * from './peer-relay';
+export * from './answer-stream';
--- a/test/gateway/caller-server-scene.ts
+++ b/test/gateway/caller-server-scene.ts
@@ -9,6 +9,7 @@
 import { HostMemory } from '../../src/gateway/memory';
 import { ServingTurns } from '../../src/gateway/arriving/serving-turns';
 import type { CallerReply } from '../../src/gateway/arriving/replies';
+import type { AnswerBody } from '../../src/gateway/sending/exchange';
 
 import { recordingTelemetry, settingsText } from './harness';
 
@@ -92,7 +93,7 @@
   private readonly sockets: Socket[] = [];
 
   /** Answers requests by id that have no reply yet. */
-  private readonly answers = new Map<string, () => void>();
+  private readonly answers = new Map<string, (body?: AnswerBody) => void>();
 
   constructor() {
     const parsed = parseSettings('test', settingsText(8000, 9000)).unsafeCoerce();
@@ -138,9 +139,9 @@
     return socket;
   }
 
-  /** Answers a request that is served. */
-  answer(id: string): void {
-    this.answers.get(id)?.();
+  /** Answers a request that is served; by default with its id. */
+  answer(id: string, body?: AnswerBody): void {
+    this.answers.get(id)?.(body);
   }
 
   /** Longest time in milliseconds for which a request outlived its caller, by the log. */
@@ -163,8 +164,8 @@
     const reply = this.replies.get(id);
     return new Promise((resolve) => {
       if (reply) resolve(reply);
-      this.answers.set(id, () =>
-        resolve(answerOf(id, { kind: 'whole', bytes: Buffer.from(`<${id}>`) })),
+      this.answers.set(id, (body) =>
+        resolve(answerOf(id, body ?? { kind: 'whole', bytes: Buffer.from(`<${id}>`) })),
       );
       signal.addEventListener('abort', () => {
         this.cancelled.add(id);
--- a/test/gateway/waiting-streams.test.ts
+++ b/test/gateway/waiting-streams.test.ts
@@ -2,7 +2,7 @@
 import { PassThrough } from 'node:stream';
 import { afterEach, beforeEach, describe, it } from 'node:test';
 
-import { answerOf, CallerServerScene, textOf, until } from './caller-server-scene';
+import { CallerServerScene, HOST_MEMORY_BYTES, textOf, turns, until } from './caller-server-scene';
 
 const IDS = ['q0', 'q1', 'q2', 'q3'];
 
@@ -13,6 +13,8 @@
   'is closed': (stream) => stream.destroy(),
 };
 
+type Caller = ReturnType<CallerServerScene['connect']>;
+
 const statusesOf = (received: string): readonly string[] =>
   [...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status!);
 
@@ -25,17 +27,14 @@
   });
   afterEach(() => scene.close());
 
-  /** Starts a pipeline in which the answer to the second request is a stream. */
-  const start = async (): Promise<{
-    readonly stream: PassThrough;
-    readonly caller: { readonly received: string };
-  }> => {
+  /** Starts a pipeline in which the answer to the second request is a stream, and all are at work. */
+  const start = async (ids = IDS): Promise<{ stream: PassThrough; caller: Caller }> => {
     const stream = new PassThrough();
     stream.on('error', () => {});
     stream.write('begin');
-    scene.replies.set('q1', answerOf('q1', { kind: 'stream', stream }));
-    const caller = scene.connect(textOf(IDS));
-    await until(() => scene.served.length === IDS.length);
+    const caller = scene.connect(textOf(ids));
+    await until(() => scene.served.length === ids.length);
+    scene.answer('q1', { kind: 'stream', stream });
     return { stream, caller };
   };
 
@@ -60,16 +59,91 @@
     expect(statusesOf(caller.received)).toEqual(['200', '200', '200', '200']);
   });
 
-  it('and breaks off in its turn ends the connection', async () => {
-    const { stream, caller } = await start();
+  Object.entries(ENDS).forEach(([how, end]) =>
+    it(`and ${how} in its turn fails, and those at work behind it are answered`, async () => {
+      const { stream, caller } = await start();
+      scene.answer('q0');
+      scene.answer('q2');
+      await until(() => caller.received.includes('<q0>'));
+      end(stream);
+      scene.answer('q3');
+      await until(() => caller.received.includes('<q3>'));
+      const status = how === 'reaches its deadline' ? '504' : '502';
+      expect(statusesOf(caller.received)).toEqual(['200', status, '200', '200']);
+      expect(caller.received).not.toInclude('begin');
+    }),
+  );
+
+  it('and breaks off in its turn ends the connection, and none behind it is served', async () => {
+    const { stream, caller } = await start(['q0', 'q1']);
     let isClosed = false;
-    (caller as ReturnType<CallerServerScene['connect']>).on('close', () => {
+    caller.on('close', () => {
       isClosed = true;
     });
+    await turns(3);
+    caller.write(textOf(['q2', 'q3']));
     scene.answer('q0');
     await until(() => caller.received.includes('begin'));
     stream.destroy(new Error('reset'));
     await until(() => isClosed);
     expect(statusesOf(caller.received)).toEqual(['200', '200']);
+    expect(scene.served).toEqual(['q0', 'q1']);
+  });
+
+  it('and ends in order has those served that came behind it', async () => {
+    const { stream, caller } = await start(['q0', 'q1']);
+    await turns(3);
+    caller.write(textOf(['q2', 'q3']));
+    scene.answer('q0');
+    await until(() => caller.received.includes('begin'));
+    expect(scene.served).toEqual(['q0', 'q1']);
+    stream.end('end');
+    await until(() => scene.served.length === IDS.length);
+    IDS.forEach((id) => scene.answer(id));
+    await until(() => caller.received.includes('<q3>'));
+    expect(statusesOf(caller.received)).toEqual(['200', '200', '200', '200']);
+  });
+
+  /** Guards against a host that holds more than its memory for requests behind an answer. */
+  it('and finds no memory gives way to those at work behind it', async () => {
+    const { stream, caller } = await start();
+    stream.end(Buffer.alloc(HOST_MEMORY_BYTES));
+    IDS.forEach((id) => scene.answer(id));
+    await until(() => caller.received.includes('<q3>'));
+    expect(statusesOf(caller.received)).toEqual(['200', '502', '200', '200']);
+    expect(caller.received).toInclude('memory-short');
+    await until(() => scene.memory.total === 0);
+  });
+
+  /** Guards against a stop that cuts off requests behind an answer which it doesn't wait for. */
+  it('and is broken off by a stop gives way to those at work behind it', async () => {
+    const { stream, caller } = await start();
+    ['q0', 'q2', 'q3'].forEach((id) => scene.answer(id));
+    await until(() => caller.received.includes('<q0>'));
+    scene.caller.breakOff();
+    await until(() => caller.received.includes('<q3>'));
+    expect(statusesOf(caller.received)).toEqual(['200', '502', '200', '200']);
+    await until(() => stream.destroyed);
+  });
+
+  it('and is being written as a stop ends has those that wait behind it refused', async () => {
+    const { stream, caller } = await start(['q0', 'q1']);
+    scene.answer('q0');
+    await until(() => caller.received.includes('begin'));
+    caller.write(textOf(['q2']));
+    await until(() => scene.caller.inFlight === 2);
+    await turns(5);
+    scene.caller.breakOff();
+    stream.end('end');
+    await until(() => caller.received.includes('stopping'));
+    expect(statusesOf(caller.received)).toEqual(['200', '200', '503']);
+    expect(scene.served).toEqual(['q0', 'q1']);
+  });
+
+  it('and whose caller leaves is discarded', async () => {
+    const { stream, caller } = await start();
+    caller.destroy();
+    await until(() => stream.destroyed);
+    expect(scene.memory.total).toEqual(0);
   });
 });
