Count what waits to be parsed, and read small pieces of answers in a part of its own

What waits for its turn was in no account: 64 KiB for each connection of a caller or upstream that sends small pieces (read in the code; reported by the measurement of the turns). It is now part of the connection's holding. Interim answers and answers to other requests are bounded in number as well as in bytes: 2 MiB of the latter, 26,000 heads, would be parsed at once for one exchange.

--- a/src/gateway/arriving/sliced-input.ts
+++ b/src/gateway/arriving/sliced-input.ts
@@ -3,6 +3,7 @@
 
 import { guarded } from '../../adapters/guarded';
 
+import type { Holding, HostMemory } from '../memory';
 import type { ReadingTurns } from '../reading-turns';
 
 /** Size in bytes of the first slice that is parsed of what has been read from a socket. */
@@ -14,6 +15,12 @@
 /** Average size in bytes from which all pieces of a body are cheap. */
 const CHEAP_PIECE_BYTES = 64;
 
+/** What inputs share. */
+export interface SlicedInputOptions {
+  readonly turns: ReadingTurns;
+  readonly memory: HostMemory;
+}
+
 type Parse = (chunk: Buffer) => void;
 
 /**
@@ -52,11 +59,19 @@
     () => this.socket.destroy(),
   );
 
-  /** Without `turns` all is parsed as it comes. */
+  /** Counts what waits for its turn. */
+  private readonly holding: Holding | undefined;
+
+  /** Without `options` all is parsed as it comes. */
   constructor(
     private readonly socket: Socket,
-    private readonly turns: ReadingTurns | undefined,
+    private readonly options: SlicedInputOptions | undefined,
   ) {
+    const peer = { kind: 'caller', id: `${socket.remoteAddress}:${socket.remotePort}` } as const;
+    this.holding = options?.memory.open(peer, () => {
+      this.drop();
+      socket.destroy();
+    });
     this.parsers = socket.listeners('data') as Parse[];
     socket.removeAllListeners('data');
     socket.on('data', this.onData);
@@ -82,6 +97,7 @@
   drop(): void {
     this.isDropped = true;
     this.pending = undefined;
+    this.holding?.close();
     this.hold();
   }
 
@@ -92,7 +108,7 @@
 
   private get isCostly(): boolean {
     return (
-      this.turns !== undefined &&
+      this.options !== undefined &&
       this.pieceCount > FREE_PIECE_COUNT + this.bodyBytes / CHEAP_PIECE_BYTES
     );
   }
@@ -158,7 +174,7 @@
       },
       () => this.socket.destroy(),
     );
-    this.turns?.add(() => {
+    this.options?.turns.add(() => {
       onTurn();
       return false;
     });
@@ -176,6 +192,7 @@
     const { socket } = this;
     this.isPaused = socket.isPaused();
     this.isHeld = true;
+    this.holding?.resize(this.pending?.length ?? 0);
     socket.pause();
     Object.assign(socket, {
       pause: () => {
@@ -192,6 +209,7 @@
   private release(): void {
     const { socket } = this;
     this.isHeld = false;
+    this.holding?.resize(0);
     Reflect.deleteProperty(socket, 'pause');
     Reflect.deleteProperty(socket, 'resume');
     if (!this.isPaused) socket.resume();
@@ -201,11 +219,11 @@
 const inputs = new WeakMap<Socket, SlicedInput>();
 
 /** Has the connections that a server takes from now on parsed in slices; see `SlicedInput`. */
-export const sliceInputs = (server: Server, turns?: ReadingTurns): void => {
+export const sliceInputs = (server: Server, options?: SlicedInputOptions): void => {
   server.on(
     'connection',
     guarded('sliced-input connection', (socket: Socket) => {
-      inputs.set(socket, new SlicedInput(socket, turns));
+      inputs.set(socket, new SlicedInput(socket, options));
     }),
   );
 };
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -181,7 +181,7 @@
     );
     [this.callers.server, this.feeds.server].forEach((server) => {
       this.arrivals.watch(server);
-      sliceInputs(server, turns);
+      sliceInputs(server, { turns, memory });
     });
     this.relay = new PeerRelay(context, connections, {
       peersFor: (service) => this.fleet.relayPeersOf(service),
--- a/src/gateway/sending/answer-parser.ts
+++ b/src/gateway/sending/answer-parser.ts
@@ -16,6 +16,8 @@
 
 /** Functions that the parser calls as it reads answers. */
 export interface AnswerHandler {
+  /** Called for the head of an interim answer, which is skipped. */
+  onInterim(): void;
   onHead(head: AnswerHead): void;
   /** Receives the next part of the body: the bytes from `start` to `end`. */
   onBody(bytes: Buffer, start: number, end: number): void;
@@ -182,6 +184,7 @@
     if (headBytes > MAX_HEAD_BYTES) throw new Error('answer headers exceed the size limit');
     if (Math.floor(status / 100) === INTERIM_CLASS) {
       this.isInterim = true;
+      this.events.onInterim();
       return 1;
     }
     checkWritable(status, rawHeaders);
--- a/src/gateway/sending/index.ts
+++ b/src/gateway/sending/index.ts
@@ -2,6 +2,7 @@
 export * from './connection-pool';
 export * from './upstream-connection';
 export * from './exchange';
+export * from './answer-input';
 export * from './answer-parser';
 export * from './forwarding';
 export * from './gateway-reply';
--- a/src/gateway/sending/upstream-connection.ts
+++ b/src/gateway/sending/upstream-connection.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '../../ports';
 
 import type { Holding, HostMemory } from '../memory';
+import { AnswerInput, type SliceTurns } from './answer-input';
 import { AnswerParser, headerOf, type AnswerHead } from './answer-parser';
 import { AnswerStream } from './answer-stream';
 import type { Exchange, ExchangeFault, ExchangeResult } from './exchange';
@@ -30,13 +31,8 @@
 /** Time in milliseconds by which a connection is given up before the upstream would close it. */
 const IDLE_MARGIN_MS: Millis = 1000;
 const MILLIS_PER_SECOND = 1000;
-/** Number of bytes that are parsed at once, and how many more while they come in large pieces. */
-const MIN_SLICE_BYTES = 2 * 1024;
-const MAX_SLICE_BYTES = 16 * 1024;
-/** Number of pieces of an answer, such as chunks, up to which a slice is cheap. */
-const MAX_CHEAP_PIECES = 64;
-/** Number of pieces that are read of an answer before it waits for its turns. */
-const MAX_PIECES_AT_ONCE = 512;
+/** Maximum number of heads in an exchange: interim answers, and answers to other requests. */
+const MAX_HEADS = 100;
 
 /** Ends a count at the latest when the request is over for which the bytes are held. */
 const closeWhen = (over: AbortSignal, holding: Holding): void => {
@@ -53,8 +49,7 @@
   readonly idHeader: string;
   readonly clock: Clock;
   readonly memory: HostMemory;
-  /** Reads answers in turn whose pieces are small. */
-  readonly turns: { add(read: () => boolean): void };
+  readonly turns: SliceTurns;
 }
 
 /** Returns the milliseconds for which a connection may be reused after an answer with this head. */
@@ -64,8 +59,6 @@
   return Math.max(0, Number(match[1]) * MILLIS_PER_SECOND - IDLE_MARGIN_MS);
 };
 
-const NOTHING = Buffer.alloc(0);
-
 /** The exchange in progress on a connection, with what has been read of its answer. */
 interface RunningExchange {
   readonly exchange: Exchange;
@@ -112,16 +105,13 @@
 
   private running: RunningExchange | undefined;
 
-  /** Numbers of bytes received in the current exchange: all, the answer's body, and skipped ones. */
-  private received = { all: 0, body: 0, skipped: 0 };
+  /** Numbers of bytes received in the current exchange (all, the answer's body, skipped ones), and of heads. */
+  private received = { all: 0, body: 0, skipped: 0, heads: 0 };
 
-  /** Number of pieces that have been parsed in the current exchange. */
+  /** Number of pieces that have been parsed. */
   private pieces = 0;
 
-  /** What has been received and not been parsed yet. */
-  private unread: Buffer = NOTHING;
-
-  private sliceBytes = MIN_SLICE_BYTES;
+  private readonly input: AnswerInput;
 
   private hasEnded = false;
 
@@ -136,10 +126,18 @@
     private readonly onClose: (connection: UpstreamConnection) => void,
   ) {
     this.parser = new AnswerParser({
+      onInterim: () => {
+        this.received.heads += 1;
+      },
       onHead: (head) => this.onHead(head),
       onBody: (bytes, start, end) => this.onBody(bytes, start, end),
       onEnd: (hasMore) => this.onEnd(hasMore),
     });
+    this.input = new AnswerInput(context.turns, {
+      parse: (slice, moreFollows) => this.parse(slice, moreFollows),
+      onWait: () => this.socket.pause(),
+      onRead: () => this.onInputRead(),
+    });
     this.socket = net.connect({ host: endpoint.address, port: endpoint.port, noDelay: true });
     const end = (): void => {
       this.socket.destroy();
@@ -169,8 +167,7 @@
    * idle, and a new one must be connected by `connectBy`.
    */
   run(exchange: Exchange, connectBy: Instant): Promise<ExchangeResult> {
-    this.received = { all: 0, body: 0, skipped: 0 };
-    this.pieces = 0;
+    this.received = { all: 0, body: 0, skipped: 0, heads: 0 };
     this.isFirst = !this.connected;
     this.idleFor = this.connected ? this.context.clock.now() - this.idleSince : 0;
     return new Promise((resolve) => {
@@ -250,53 +247,30 @@
       this.close();
       return;
     }
-    const isWaiting = this.unread.length > 0;
-    this.unread = isWaiting ? Buffer.concat([this.unread, chunk]) : chunk;
-    if (!isWaiting && this.readAtOnce()) this.waitForTurns();
+    this.input.push(chunk);
   }
 
-  /** Reads on as long as that is cheap; returns whether more waits. */
-  private readAtOnce(): boolean {
-    const before = this.pieces;
-    while (this.unread.length > 0) {
-      const piecesBefore = this.pieces;
-      this.readSlice();
-      const isCheap = this.pieces - piecesBefore <= MAX_CHEAP_PIECES;
-      this.sliceBytes = isCheap ? Math.min(MAX_SLICE_BYTES, 2 * this.sliceBytes) : MIN_SLICE_BYTES;
-      if (!isCheap && this.pieces - before > MAX_PIECES_AT_ONCE) break;
-    }
-    return this.unread.length > 0;
-  }
-
-  /** Reads the rest in turn with other peers whose bytes are expensive. */
-  private waitForTurns(): void {
-    this.socket.pause();
-    this.context.turns.add(() => {
-      this.readSlice();
-      if (this.unread.length > 0) return true;
-      this.resumeReading();
-      if (this.hasEnded) this.onSocketEnd();
-      if (this.hasClosed) this.onSocketClose();
-      return false;
-    });
-  }
-
-  /** Parses the next bytes. */
-  private readSlice(): void {
-    const slice = this.unread.subarray(0, this.sliceBytes);
-    this.unread = this.unread.subarray(slice.length);
-    if (this.unread.length === 0) this.unread = NOTHING;
+  /** Parses received bytes; returns the number of pieces in them. */
+  private parse(slice: Buffer, moreFollows: boolean): number {
     if (!this.running) {
       this.close();
-      return;
+      return 0;
     }
+    const before = this.pieces;
     this.received.all += slice.length;
-    if (this.parser.parse(slice, this.unread.length > 0) && !this.isExcessive) {
-      this.countHeld();
-      return;
+    if (this.parser.parse(slice, moreFollows) && !this.isExcessive) this.countHeld();
+    else {
+      this.fail('malformed');
+      this.close();
     }
-    this.fail('malformed');
-    this.close();
+    return this.pieces - before;
+  }
+
+  /** Goes on once all that has been received is parsed. */
+  private onInputRead(): void {
+    this.resumeReading();
+    if (this.hasEnded) this.onSocketEnd();
+    if (this.hasClosed) this.onSocketClose();
   }
 
   /** Counts what is held of the answer, and passes on what can be. */
@@ -309,17 +283,19 @@
     const framing = running.head
       ? running.headBytes
       : memory.heapBytes(unfinishedHeadCostOf(this.received.all));
-    if (!running.holding.resize(framing + running.held.length)) return;
+    const held = framing + running.held.length + this.input.waiting;
+    if (!running.holding.resize(held)) return;
     if (running.stream?.isFull) this.socket.pause();
   }
 
   private resumeReading(): void {
-    if (this.unread.length === 0 && !this.running?.stream?.isFull) this.socket.resume();
+    if (this.input.waiting === 0 && !this.running?.stream?.isFull) this.socket.resume();
   }
 
   /** Whether the upstream has sent more than an answer may have beside its body. */
   private get isExcessive(): boolean {
-    const { all, body, skipped } = this.received;
+    const { all, body, skipped, heads } = this.received;
+    if (heads > MAX_HEADS) return true;
     const framing = all - body - skipped;
     return framing > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * body || skipped > MAX_SKIPPED_BYTES;
   }
@@ -327,7 +303,7 @@
   /** Handles the end of the connection, once all that has been received is read. */
   private onSocketClose(): void {
     this.hasClosed = true;
-    if (this.running && this.unread.length > 0) return;
+    if (this.running && this.input.waiting > 0) return;
     this.fail(this.connected ? 'reset' : 'connect-failed');
     this.onClose(this);
   }
@@ -335,7 +311,7 @@
   /** Handles the end of the bytes from the upstream, once they are read. */
   private onSocketEnd(): void {
     this.hasEnded = true;
-    if (this.unread.length > 0) return;
+    if (this.input.waiting > 0) return;
     if (this.isReset) {
       this.fail('reset');
       this.close();
@@ -356,6 +332,7 @@
   }
 
   private onHead(head: AnswerHead): void {
+    this.received.heads += 1;
     this.onAnswerHead(head);
     const { running } = this;
     if (!running) {
--- a/test/gateway/answer-parser.test.ts
+++ b/test/gateway/answer-parser.test.ts
@@ -19,12 +19,13 @@
   const result: ParseResult = { heads: [], bodies: [], valid: true, whole: true };
   let body = '';
   const parser = new AnswerParser({
+    onInterim: () => {},
     onHead: (head) => {
       result.heads.push(head);
       body = '';
     },
-    onBody: (chunk) => {
-      body += chunk.toString('latin1');
+    onBody: (bytes, start, end) => {
+      body += bytes.toString('latin1', start, end);
     },
     onEnd: () => result.bodies.push(body),
   });
--- a/test/gateway/sliced-input.test.ts
+++ b/test/gateway/sliced-input.test.ts
@@ -48,7 +48,8 @@
   beforeEach(async () => {
     scene = new CallerServerScene();
     // Time stands still, so that there is a turn to read in each turn of the event loop.
-    sliceInputs(scene.caller.server, new ReadingTurns({ now: () => 0 }));
+    const { memory } = scene;
+    sliceInputs(scene.caller.server, { turns: new ReadingTurns({ now: () => 0 }), memory });
     piecesByTurn = [0];
     isCounting = true;
     bodies.clear();
--- a/test/gateway/spoilt-heads.test.ts
+++ b/test/gateway/spoilt-heads.test.ts
@@ -19,6 +19,7 @@
 const headsIn = (bytes: Buffer): readonly AnswerHead[] => {
   const heads: AnswerHead[] = [];
   const parser = new AnswerParser({
+    onInterim: () => {},
     onHead: (head) => heads.push(head),
     onBody: () => {},
     onEnd: () => {},
