Parse the rest of a body of a stated size in one piece

It is one piece to the parser, whatever its size, so slices only cost time; what comes in one small read needs none either.

--- a/src/gateway/arriving/body-reader.ts
+++ b/src/gateway/arriving/body-reader.ts
@@ -71,7 +71,7 @@
   /** Begins to read. */
   start(): void {
     const { req } = this;
-    inputOf(req.socket)?.startBody();
+    inputOf(req.socket)?.startBody(this.declared);
     const end = (): void => {
       req.socket.destroy();
     };
--- a/src/gateway/arriving/sliced-input.ts
+++ b/src/gateway/arriving/sliced-input.ts
@@ -42,6 +42,9 @@
 
   private bodyBytes = 0;
 
+  /** Size of the body that is being read; undefined if it isn't stated. */
+  private statedBytes: number | undefined = 0;
+
   /** Whether `advance` is to be called. */
   private isScheduled = false;
 
@@ -81,10 +84,11 @@
     );
   }
 
-  /** Notes that a body begins. */
-  startBody(): void {
+  /** Notes that a body begins; `bytes` is its size, undefined if it isn't stated. */
+  startBody(bytes: number | undefined): void {
     this.pieceCount = 0;
     this.bodyBytes = 0;
+    this.statedBytes = bytes;
   }
 
   /** Notes that the parser has given a piece of the body. */
@@ -115,6 +119,11 @@
 
   private onRead(chunk: Buffer): void {
     if (this.isDropped) return;
+    const isSmall = !this.pending && chunk.length <= FIRST_SLICE_BYTES;
+    if (isSmall && !this.isHeld && !this.isCostly) {
+      this.parse(chunk);
+      return;
+    }
     this.pending = this.pending ? Buffer.concat([this.pending, chunk]) : chunk;
     this.sliceBytes = FIRST_SLICE_BYTES;
     if (!this.isHeld && !this.isScheduled) this.advance();
@@ -156,11 +165,16 @@
   }
 
   private parseSlice(): void {
-    const { pending, sliceBytes } = this;
+    const { pending } = this;
     if (!pending) return;
-    this.pending = pending.length > sliceBytes ? pending.subarray(sliceBytes) : undefined;
-    const slice = this.pending ? pending.subarray(0, sliceBytes) : pending;
-    this.parsers.forEach((parse) => parse.call(this.socket, slice));
+    // The rest of a body of a stated size is one piece.
+    const size = Math.max(this.sliceBytes, (this.statedBytes ?? 0) - this.bodyBytes);
+    this.pending = pending.length > size ? pending.subarray(size) : undefined;
+    this.parse(this.pending ? pending.subarray(0, size) : pending);
+  }
+
+  private parse(bytes: Buffer): void {
+    this.parsers.forEach((parse) => parse.call(this.socket, bytes));
   }
 
   private waitForTurn(): void {
