--- a/src/gateway/reading-turns.ts
+++ b/src/gateway/reading-turns.ts
@@ -18,7 +18,8 @@
  * turn of the event loop for all peers together, round robin, and for no more than `READING_SHARE`
  * of the time once `READING_BURST_MS` is used up. A peer adds itself when a slice was expensive, and
  * stops its socket meanwhile. Load pattern: a few peers that send such bytes without end, beside
- * many with cheap ones that must not wait for them.
+ * many with cheap ones that must not wait for them: beside two such strangers at least 0.9 of
+ * the requests are served that are served without them, with a p99 of less than twice.
  */
 export class ReadingTurns {
   private readonly time = new TimeShare({
