Have the soak play peers that send without end or in small pieces

New faults, drawn from a random source of their own, so that the old faults of a seed stay as they are: answers, callers' bodies and the store's answers in pieces of one byte (whole, stopped, without end), answers without end in eleven forms, many answers that stop halfway, callers that send long heads ahead and don't read, streamed answers that break off before orders, strangers at the four small ports. `--only KIND` plays one kind. The processes have the flags of the deploy file's run line and hosts of 350 MiB.

New checks: resident memory stays within the host's while a fleet runs; a request that has run is answered by each process that wasn't killed (so far only by one that was stopped); a small port closes a connection that sends on for a second after its answer; in the calm fleet at the end, bodies and answers in pieces of one byte are served. The callers keep the end of a body only, as it may have no end; the check of a body compares its end, as before.

Not played: feeds between gateways in pieces, as a member is reached at the address and port that it listens on, so nothing can stand between. `until-close` isn't drawn for the upstreams whose answers are checked: Node.js's client takes a reset after unread bytes for the end of such a body.

--- a/standins/platform/endless-upstream.ts
+++ b/standins/platform/endless-upstream.ts
@@ -16,7 +16,7 @@
 const REQUEST_ID = /^x-redwingmount-request-id: *(.*)$/im;
 
 /** Writes `repeated` until the connection closes, no faster than it is taken. */
-const writeWithoutEnd = (socket: Socket, repeated: string): void => {
+export const writeWithoutEnd = (socket: Socket, repeated: string): void => {
   const block = Buffer.from(repeated.repeat(Math.ceil(WRITE_BYTES / repeated.length)), 'latin1');
   const write = (): void => {
     if (socket.destroyed) return;
--- a/standins/platform/index.ts
+++ b/standins/platform/index.ts
@@ -2,3 +2,4 @@
 export * from './store';
 export * from './upstream';
 export * from './endless-upstream';
+export { inPieces } from './responses';
--- a/standins/platform/responses.ts
+++ b/standins/platform/responses.ts
@@ -23,6 +23,10 @@
     body,
   ].join('\r\n');
 
+/** Returns chunks of one byte each, without the chunk that ends a body. */
+export const inPieces = (bytes: Buffer): Buffer =>
+  Buffer.concat(Array.from(bytes, (byte) => Buffer.from([0x31, 13, 10, byte, 13, 10])));
+
 /** Returns the response to a request that is not run; without the header if `id` is empty. */
 export const refusalOf = (id: string, extraLines: string): string =>
   [
--- a/standins/platform/store.ts
+++ b/standins/platform/store.ts
@@ -7,12 +7,16 @@
 
 import { closeServer, listen, sendJson, type StandIn } from '../server';
 
+import { writeWithoutEnd } from './endless-upstream';
+import { inPieces } from './responses';
+
 /**
  * How the store treats requests: `well` answers them, `busy` refuses with 503, `silent` never
  * answers, `reset` closes the connection, `cut-short` closes it within the body, `spoilt` answers
- * with random bytes.
+ * with random bytes, `in-pieces` answers in chunks of one byte, `endless` in such chunks without end.
  */
-export type StoreFaultMode = 'well' | 'busy' | 'silent' | 'reset' | 'cut-short' | 'spoilt';
+export type StoreFaultMode =
+  'well' | 'busy' | 'silent' | 'reset' | 'cut-short' | 'spoilt' | 'in-pieces' | 'endless';
 
 interface StoredRecord {
   readonly offset: number;
@@ -185,6 +189,11 @@
       case 'spoilt':
         res.end(randomBytes(SPOILT_BYTES));
         return;
+      case 'endless':
+        req.socket.write(this.chunkedHead());
+        writeWithoutEnd(req.socket, '1\r\nx\r\n');
+        return;
+      case 'in-pieces':
       case 'well':
         if (url.pathname === '/redwingmount/log-newest') this.readNewest(res, url.searchParams);
         else if (url.pathname === '/redwingmount/log-read')
@@ -193,12 +202,27 @@
     }
   }
 
+  /** Answers 200 with a body, as JSON unless it is bytes; in pieces in that mode. */
+  private send(res: ServerResponse, body: unknown): void {
+    if (this.mood === 'in-pieces') {
+      const bytes = body instanceof Buffer ? body : Buffer.from(JSON.stringify(body));
+      res.socket?.write(this.chunkedHead());
+      res.socket?.write(inPieces(bytes));
+      res.socket?.end('0\r\n\r\n');
+    } else if (body instanceof Buffer) res.end(body);
+    else sendJson(res, 200, body);
+  }
+
+  private chunkedHead(): string {
+    return `HTTP/1.1 200 OK\r\nStore-Era: ${this.era}\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n`;
+  }
+
   /** Answers the newest records of the keys after the query's `after`, as one page of JSON. */
   private readNewest(res: ServerResponse, query: URLSearchParams): void {
     const topic = this.topicOf(query.get('topic') ?? '');
     const after = query.get('after') ?? '';
     const rest = topic.newestOfEachKey().filter(({ key }) => key > after);
-    sendJson(res, 200, {
+    this.send(res, {
       items: rest.slice(0, MAX_NEWEST_ITEM_COUNT).map(({ key, value, offset }) => ({
         key,
         value: value.toString('base64'),
@@ -218,7 +242,7 @@
       if (res.writableEnded) return;
       if (from < topic.first || from > topic.end)
         sendJson(res, STATUS_GONE, { first: topic.first });
-      else res.end(encodePage(topic, from));
+      else this.send(res, encodePage(topic, from));
     };
     if (from !== topic.end || from < topic.first) {
       answer();
--- a/standins/platform/upstream.ts
+++ b/standins/platform/upstream.ts
@@ -69,6 +69,8 @@
   readonly id: string;
   /** The fault mode of requests from now on. */
   mood: UpstreamFaultMode;
+  /** Writes the responses to requests that have run, in place of the fault mode. */
+  respond: ((socket: Socket, request: ReceivedRequest) => void) | undefined;
   /** Time in milliseconds that a request takes. */
   work: number;
   /** Header lines that all its answers carry, such as `Server-Limit: 2`. */
@@ -102,6 +104,8 @@
 
   mood: UpstreamFaultMode = 'well';
 
+  respond: PlatformUpstream['respond'];
+
   work = 5;
 
   announces: readonly string[] = [];
@@ -293,7 +297,9 @@
     setTimeout(() => {
       socket.off('close', onClose);
       if (this.crashPath !== '' && request.head.includes(` ${this.crashPath} `)) this.crash();
-      if (!socket.destroyed) this.writeResponse(socket, request);
+      if (socket.destroyed) return;
+      if (this.respond) this.respond(socket, request);
+      else this.writeResponse(socket, request);
     }, this.work).unref();
     socket.once('close', onClose);
   }
--- a/test/process/busy-gateways.ts
+++ b/test/process/busy-gateways.ts
@@ -14,12 +14,10 @@
 import { configOf, routeOf, settingsText } from '../gateway/harness';
 import { reservePorts } from '../ports';
 
+import { deployedNodeFlags, HOST_MEMORY_MB } from './deployment';
 import { ManagedProcess } from './managed-process';
 
 const GATEWAY_PROGRAM = 'dist/gateway.cjs';
-const RUN_LINE = /^run = "node ((?:--\S+ )*)/m;
-/** Memory in megabytes at which the hosts of the deployment are killed. */
-export const HOST_MEMORY_MB = 350;
 const HOST = 'shop.example';
 const ADDRESSES = ['127.0.0.1', '127.0.0.2'];
 const UPSTREAM_COUNT = 3;
@@ -151,10 +149,6 @@
         born: 1,
       });
     }
-    const flags = RUN_LINE.exec(await readFile('deploy/system.toml', 'utf8'))?.[1]
-      ?.trim()
-      .split(' ');
-    if (!flags) throw new Error('deploy/system.toml has no run line');
     const gateways: ManagedProcess[] = [];
     for (const address of ADDRESSES) {
       const file = join(dir, `${address}.toml`);
@@ -167,7 +161,7 @@
         .replace(`"${address}:${store.port}"`, `"127.0.0.1:${store.port}"`);
       await writeFile(file, `${text}\n[limits]\nmemoryMb = ${HOST_MEMORY_MB}\n`);
       const env = { REDWINGMOUNT_NODE_FILE: file };
-      gateways.push(new ManagedProcess(address, [...flags, GATEWAY_PROGRAM], env));
+      gateways.push(new ManagedProcess(address, [...deployedNodeFlags(), GATEWAY_PROGRAM], env));
     }
     await Promise.all(gateways.map((gateway) => gateway.waitForLine(/"event":"ready"/)));
     return new BusyGateways(dir, store, gateways, ports, upstreams);
--- a/test/process/peer-bytes.test.ts
+++ b/test/process/peer-bytes.test.ts
@@ -3,13 +3,8 @@
 import { afterEach, describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import {
-  answerHead,
-  BusyGateways,
-  HOST_MEMORY_MB,
-  writeWithoutEnd,
-  type Respond,
-} from './busy-gateways';
+import { answerHead, BusyGateways, writeWithoutEnd, type Respond } from './busy-gateways';
+import { HOST_MEMORY_MB } from './deployment';
 
 const DURATION_MS = 4000;
 const CHUNKED = 'Transfer-Encoding: chunked\r\n';
--- a/test/soak/gateways.test.ts
+++ b/test/soak/gateways.test.ts
@@ -8,7 +8,7 @@
 describe('gateway processes under injected faults', () => {
   [2, 3, 4, 5].forEach((seed) =>
     it(`violate no invariant with seed ${seed}`, async () => {
-      const { violations } = await FaultedFleet.runSeed(seed, MILLIS, false);
+      const { violations } = await FaultedFleet.runSeed(seed, MILLIS);
       expect(violations).toEqual([]);
     }),
   );
--- a/test/soak/gateways/callers.ts
+++ b/test/soak/gateways/callers.ts
@@ -8,6 +8,8 @@
 /** Time for which callers reuse the addresses that the directory returned. */
 const ADDRESS_TTL_MS = 500;
 const DIRECTORY_TIMEOUT_MS = 300;
+/** Length of the end of a body that is kept; bodies may have no end themselves. */
+const KEPT_BODY_BYTES = 100;
 
 /** The part of an outcome that the caller observes. */
 type ObservedOutcome = Omit<RequestOutcome, 'kind' | 'gateway' | 'life'>;
@@ -61,15 +63,17 @@
           },
         },
         (res) => {
-          const chunks: Buffer[] = [];
-          res.on('data', (chunk: Buffer) => chunks.push(chunk));
+          let bodyEnd = '';
+          res.on('data', (chunk: Buffer) => {
+            bodyEnd = (bodyEnd + chunk.toString('latin1')).slice(-KEPT_BODY_BYTES);
+          });
           res.on('error', () => {});
           res.on('close', () =>
             end({
               status: res.statusCode ?? 0,
               answerId: String(res.headers['x-redwingmount-request-id'] ?? ''),
               signed: res.headers['x-redwingmount-response-signature'] !== undefined,
-              body: Buffer.concat(chunks).toString('utf8'),
+              body: bodyEnd,
               broken: !res.complete,
             }),
           );
--- a/test/soak/gateways/faulted-fleet.ts
+++ b/test/soak/gateways/faulted-fleet.ts
@@ -5,18 +5,22 @@
 
 import type { FaultProxy } from '../../../standins/fault-proxy';
 import { startStore, type StoreStandIn } from '../../../standins/platform';
-import { configOf, routeOf, settingsText } from '../../gateway/harness';
+import { settingsText } from '../../gateway/harness';
 import { reservePorts } from '../../ports';
+import { HOST_MEMORY_MB } from '../../process/deployment';
 
-import { announceLimit, askForPause, sayLeaving } from './announcing';
 import { Callers } from './callers';
+import { FaultPlayer } from './fault-player';
 import { GatewayHosts } from './gateway-hosts';
-import { LASTING_PATH, LASTING_TIMEOUT_MS, LeavingCallers } from './leaving-callers';
+import { HostMemory } from './host-memory';
+import { LASTING_TIMEOUT_MS, LeavingCallers } from './leaving-callers';
+import { MisbehavingPeers } from './misbehaving-peers';
 import { PipeliningCallers } from './pipelining-callers';
 import { OutcomeRecorder, type Violation } from './outcome-recorder';
-import { drawSchedule, hasPromptUpdates, type ScheduledFault, type Fault } from './schedule';
-import { sendSpoiltDatagrams } from './spoilt-datagrams';
-import { breakLink, restoreLink, startProxyTo, ProxiedUpstream } from './proxied-upstream';
+import { drawPeerFaults, PEER_FAULT_KINDS, type ScheduledPeerFault } from './peer-faults';
+import { PublishedConfig } from './published-config';
+import { drawSchedule, hasPromptUpdates, type ScheduledFault } from './schedule';
+import { restoreLink, startProxyTo, ProxiedUpstream } from './proxied-upstream';
 
 const FLEET_SIZE = { gateways: 4, upstreams: 5 };
 /** Time between two requests. */
@@ -26,22 +30,26 @@
 /** Number of requests between two callers that send requests ahead, and between two uploads. */
 const PIPELINING_GAP = 11;
 const UPLOAD_GAP = 37;
-/** Size in bytes of an upload, and of the largest body that the configuration allows. */
 const UPLOAD_BYTES = 2 * 2 ** 20;
-const MAX_BODY_BYTES = 4 * 2 ** 20;
-/** Longest time after an upstream starts draining in which it may still get new requests. */
-const DEPARTURE_BOUND_MS = 2000;
-/** Time from the start of draining until the upstream rejoins. */
-const REJOIN_DELAY_MS = 4000;
-/** Time from the recovery of the store until upstreams register again. */
-const REREGISTER_DELAY_MS = 1000;
 /** Longest time after all faults have ended until the fleet must serve. */
 const RECOVERY_TIMEOUT_MS = 15_000;
-/** Allowance for clocks and timers of a busy machine, added to time bounds. */
-const TIMING_SLACK_MS = 500;
 /** Number of consecutive successes after which the fleet counts as recovered. */
 const RECOVERED_SUCCESS_COUNT = 20;
 
+/** The faults of one run. */
+interface RunSchedule {
+  readonly faults: readonly ScheduledFault[];
+  readonly peerFaults: readonly ScheduledPeerFault[];
+}
+
+/** What a run checks and plays. */
+export interface RunOptions {
+  /** Also checks the invariants with a time bound, which a busy machine can violate. */
+  readonly timed?: boolean;
+  /** Plays only faults of this kind. */
+  readonly only?: string | undefined;
+}
+
 /** The result of one run. */
 export interface RunReport {
   readonly violations: readonly Violation[];
@@ -51,7 +59,10 @@
   readonly requests: number;
   /** Number of requests answered with status 200. */
   readonly served: number;
-  readonly schedule: readonly ScheduledFault[];
+  /** Number of faults that were played. */
+  readonly faults: number;
+  /** The most resident memory in MiB that a gateway had. */
+  readonly maxRssMb: number;
   /** Number of departures checked against their time bound. */
   readonly departures: number;
 }
@@ -73,7 +84,13 @@
 
   private readonly pipeliningCallers: PipeliningCallers;
 
-  private version = 1;
+  private readonly config: PublishedConfig;
+
+  private readonly peers: MisbehavingPeers;
+
+  private readonly player: FaultPlayer;
+
+  private readonly memory = new HostMemory(this.hosts, this.recorder);
 
   private sentCount = 0;
 
@@ -85,13 +102,24 @@
   ) {
     this.leavingCallers = new LeavingCallers(port);
     this.pipeliningCallers = new PipeliningCallers(port);
+    this.config = new PublishedConfig(store);
+    this.peers = new MisbehavingPeers(port, store, this.pipeliningCallers);
+    const { hosts, storeLinks, upstreams, recorder, config, peers } = this;
+    this.player = new FaultPlayer({
+      hosts,
+      store,
+      storeLinks,
+      upstreams,
+      recorder,
+      config,
+      peers,
+      port,
+    });
   }
 
-  /**
-   * Runs the schedule of one seed for `millis` milliseconds. With `timed` set, also checks the
-   * invariants with a time bound, which a busy machine can violate.
-   */
-  static async runSeed(seed: number, millis: number, timed: boolean): Promise<RunReport> {
+  /** Runs the schedule of one seed for `millis` milliseconds. */
+  static async runSeed(seed: number, millis: number, options: RunOptions = {}): Promise<RunReport> {
+    const { timed = false, only } = options;
     const dir = await mkdtemp(join(tmpdir(), 'redwingmount-soak-'));
     const port = await reservePorts(5);
     const addresses = Array.from({ length: FLEET_SIZE.gateways }, (_, i) => `127.0.0.${i + 1}`);
@@ -99,15 +127,17 @@
     const fleet = new FaultedFleet(dir, await startStore(), port, callers);
     try {
       await fleet.start(addresses);
-      const schedule = drawSchedule(seed, millis, FLEET_SIZE);
+      const schedule = FaultedFleet.scheduleOf(seed, millis, only);
       await fleet.run(schedule, millis);
       await fleet.recover();
       const { recorder } = fleet;
       fleet.hosts.checkCallbacks();
       const upstreams = fleet.upstreams.map(({ upstream }) => upstream);
       upstreams.forEach((upstream) => Object.assign(upstream, { work: LASTING_TIMEOUT_MS }));
+      recorder.violations.push(...(await fleet.peers.check(addresses)));
       recorder.violations.push(...(await fleet.leavingCallers.check(addresses, upstreams)));
       recorder.violations.push(...fleet.pipeliningCallers.check(upstreams, fleet.hosts.killed));
+      recorder.violations.push(...recorder.checkLosses(upstreams, fleet.hosts.killed));
       if (timed) recorder.violations.push(...recorder.checkDeadlines());
       const isTimed = timed && hasPromptUpdates(seed);
       const late = isTimed
@@ -118,7 +148,8 @@
         notes: recorder.notes,
         requests: recorder.outcomes.length,
         served: recorder.outcomes.filter(({ status }) => status === 200).length,
-        schedule,
+        faults: schedule.faults.length + schedule.peerFaults.length,
+        maxRssMb: fleet.memory.maxMb,
         departures: isTimed ? recorder.departures.length : 0,
       };
     } finally {
@@ -126,17 +157,28 @@
     }
   }
 
+  private static scheduleOf(seed: number, millis: number, only: string | undefined): RunSchedule {
+    const isPlayed = (kind: string): boolean => only === undefined || kind === only;
+    const kinds = PEER_FAULT_KINDS.filter(isPlayed);
+    return {
+      faults: drawSchedule(seed, millis, FLEET_SIZE).filter(({ fault }) => isPlayed(fault.kind)),
+      peerFaults: drawPeerFaults(seed, millis, FLEET_SIZE, kinds),
+    };
+  }
+
   private async start(addresses: readonly string[]): Promise<void> {
     for (let i = 0; i < FLEET_SIZE.upstreams; i++) {
       this.upstreams.push(await ProxiedUpstream.start(`i-${i}`, this.store));
     }
+    await this.peers.start();
     for (const address of addresses) {
       const link = await startProxyTo(this.store.port);
       this.storeLinks.push(link);
-      const text = settingsText(this.port, 1)
+      const settings = settingsText(this.port, 1)
         .replaceAll('"127.0.0.1', `"${address}`)
         .replace(`"${address}:1"`, `"127.0.0.1:${link.port}"`)
         .replace('seeds = []', 'seeds = ["127.0.0.1:1", "127.0.0.2:1"]');
+      const text = `${settings}\n[limits]\nmemoryMb = ${HOST_MEMORY_MB}\n`;
       const file = join(this.dir, `${address}.toml`);
       await writeFile(file, text);
       this.hosts.add(address, file, text);
@@ -144,140 +186,29 @@
     await this.recover();
   }
 
-  /**
-   * Publishes a configuration version. Version N has the routes `/v1/` to `/vN/`, so that a request
-   * shows whether the version is in force.
-   */
-  private publishConfig(version: number): void {
-    const added = Array.from({ length: version }, (_, i) => routeOf(`/v${i + 1}/`, 'safe'));
-    const lasting = routeOf(LASTING_PATH, 'safe', { timeoutMs: LASTING_TIMEOUT_MS });
-    const paths = [routeOf('/read/', 'safe'), routeOf('/book/', 'unsafe'), lasting, ...added];
-    const config = configOf(version, paths) as { readonly limits: object };
-    const limits = { ...config.limits, maxBodyBytes: MAX_BODY_BYTES };
-    this.store.put('keyed.op', 'config', { ...config, limits });
-  }
-
-  private async run(schedule: readonly ScheduledFault[], millis: number): Promise<void> {
+  private async run({ faults, peerFaults }: RunSchedule, millis: number): Promise<void> {
     const startedAt = Date.now();
-    const faults = schedule.map(async ({ startsAfterMs, durationMs, fault }) => {
+    const played = faults.map(async ({ startsAfterMs, durationMs, fault }) => {
+      await sleep(startsAfterMs);
+      await this.player.play(fault, durationMs);
+    });
+    const playedByPeers = peerFaults.map(async ({ startsAfterMs, durationMs, fault }) => {
       await sleep(startsAfterMs);
-      await this.apply(fault, durationMs);
+      await this.player.playPeer(fault, durationMs);
     });
     const requests: Promise<void>[] = [];
     while (Date.now() - startedAt < millis) {
       requests.push(this.request());
       await sleep(REQUEST_GAP_MS);
     }
-    await Promise.all([...faults, ...requests]);
-  }
-
-  private async apply(fault: Fault, durationMs: number): Promise<void> {
-    switch (fault.kind) {
-      case 'kill':
-      case 'stop':
-      case 'stop-series':
-        return this.hosts.end(fault.gateway, fault.kind, durationMs);
-      case 'pause':
-        return this.hosts.pause(fault.gateway, durationMs);
-      case 'reload-at-start':
-        await this.hosts.end(fault.gateway, 'kill', durationMs);
-        await sleep(fault.afterMs);
-        return this.hosts.reload(fault.gateway);
-      case 'reload':
-        return this.hosts.reload(fault.gateway);
-      case 'spoilt-datagrams': {
-        const host = this.hosts.list[fault.gateway];
-        const addresses = this.hosts.list.map(({ address }) => address);
-        if (host) await sendSpoiltDatagrams(addresses, this.port, host.address, fault.seed);
-        return undefined;
-      }
-      case 'store':
-        this.store.mood = fault.mode;
-        await sleep(durationMs);
-        this.store.mood = 'well';
-        return undefined;
-      case 'store-link':
-        return breakLink(this.storeLinks[fault.gateway], fault.link, durationMs);
-      case 'upstream': {
-        const upstream = this.upstreams[fault.upstream]?.upstream;
-        if (!upstream) return undefined;
-        upstream.mood = fault.mode;
-        await sleep(durationMs);
-        upstream.mood = 'well';
-        return undefined;
-      }
-      case 'upstream-link':
-        return breakLink(this.upstreams[fault.upstream]?.proxy, fault.link, durationMs);
-      case 'departure':
-        return this.depart(this.upstreams[fault.upstream]);
-      case 'lapse':
-        return this.lapseRegistrations(durationMs);
-      case 'config':
-        this.version += 1;
-        this.publishConfig(this.version);
-        return undefined;
-      case 'old-config':
-        if (this.version > 1) this.publishConfig(this.version - 1);
-        return undefined;
-      case 'compaction':
-        this.store.compact('keyed.servers');
-        this.store.compact('keyed.op');
-        return undefined;
-      case 'store-copy':
-        this.store.mood = 'reset';
-        this.store.restoreCopy(Date.now() - fault.ageMs);
-        await sleep(durationMs);
-        this.store.mood = 'well';
-        await sleep(REREGISTER_DELAY_MS);
-        this.publishConfig(this.version);
-        this.upstreams.filter(({ isActive }) => isActive).forEach((each) => each.register('ready'));
-        return undefined;
-      case 'limit':
-        this.recorder.limits.push(
-          ...(await announceLimit(this.upstreams[fault.upstream], fault.perSecond)),
-        );
-        return undefined;
-      case 'ask-pause':
-        return askForPause(this.upstreams[fault.upstream], durationMs);
-      case 'odd-entry':
-        return this.upstreams[fault.upstream]?.misreport(fault.entry);
-      case 'say-leaving':
-        return sayLeaving(this.upstreams[fault.upstream]);
-    }
-  }
-
-  /** Lets an upstream drain, unregister and rejoin, and records the period for the check. */
-  private async depart(proxied: ProxiedUpstream | undefined): Promise<void> {
-    if (!proxied?.isActive) return;
-    const noWorkAfter = Date.now() + DEPARTURE_BOUND_MS + TIMING_SLACK_MS;
-    proxied.drain();
-    await sleep(DEPARTURE_BOUND_MS / 2);
-    proxied.unregister();
-    await sleep(REJOIN_DELAY_MS - DEPARTURE_BOUND_MS / 2);
-    this.recorder.departures.push({
-      id: proxied.upstream.id,
-      noWorkAfter,
-      rejoinedAt: Date.now(),
-    });
-    proxied.rejoin();
-  }
-
-  /** Unregisters all active upstreams while the store is busy, then registers them again. */
-  private async lapseRegistrations(durationMs: number): Promise<void> {
-    this.store.mood = 'busy';
-    const active = this.upstreams.filter(({ isActive }) => isActive);
-    active.forEach((upstream) => upstream.unregister());
-    await sleep(durationMs);
-    this.store.mood = 'well';
-    await sleep(REREGISTER_DELAY_MS);
-    active.filter(({ isActive }) => isActive).forEach((upstream) => upstream.register('ready'));
+    await Promise.all([...played, ...playedByPeers, ...requests]);
   }
 
   /** Sends one request and records its outcome; every tenth asks for the newest version's route. */
   private async request(): Promise<void> {
     this.sentCount += 1;
     const number = this.sentCount;
-    const askedVersion = number % 10 === 0 ? this.version : 0;
+    const askedVersion = number % 10 === 0 ? this.config.version : 0;
     const kind = askedVersion > 0 || number % 3 === 0 ? 'safe' : 'unsafe';
     const gateway = await this.callers.chooseGateway();
     const host = this.hosts.list[gateway];
@@ -303,8 +234,10 @@
    */
   private async recover(): Promise<void> {
     this.store.mood = 'well';
-    this.publishConfig(this.version);
-    this.upstreams.forEach(({ upstream }) => Object.assign(upstream, { mood: 'well' }));
+    this.config.publish();
+    this.upstreams.forEach(({ upstream }) =>
+      Object.assign(upstream, { mood: 'well', respond: undefined }),
+    );
     await Promise.all(
       [...this.storeLinks, ...this.upstreams.map(({ proxy }) => proxy)].map(restoreLink),
     );
@@ -328,10 +261,12 @@
   }
 
   private async close(): Promise<void> {
+    this.memory.close();
     this.callers.close();
     await this.hosts.close();
     await Promise.all([
       this.store.close(),
+      this.peers.close(),
       ...this.storeLinks.map((link) => link.close()),
       ...this.upstreams.map((upstream) => upstream.close()),
     ]);
--- a/test/soak/gateways/gateway-hosts.ts
+++ b/test/soak/gateways/gateway-hosts.ts
@@ -1,11 +1,14 @@
 import { writeFile } from 'node:fs/promises';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { deployedNodeFlags } from '../../process/deployment';
 import { ManagedProcess } from '../../process/managed-process';
 
 import type { OutcomeRecorder } from './outcome-recorder';
 
 const GATEWAY_PROGRAM = 'dist/gateway.cjs';
+/** Arguments of the process, with the limits of the heap as in a deployment. */
+const PROCESS_ARGS = [...deployedNodeFlags(), GATEWAY_PROGRAM];
 /** Time between the signals of a series. */
 const SIGNAL_GAP_MS = 60;
 
@@ -47,7 +50,7 @@
     host.life += 1;
     this.recorder.noteDisturbance();
     const env = { REDWINGMOUNT_NODE_FILE: host.file };
-    const started = new ManagedProcess(host.address, [GATEWAY_PROGRAM], env);
+    const started = new ManagedProcess(host.address, PROCESS_ARGS, env);
     const startedAt = Date.now();
     const key = `${gateway} ${host.life}`;
     host.process = started;
--- a/test/soak/gateways/outcome-recorder.ts
+++ b/test/soak/gateways/outcome-recorder.ts
@@ -24,6 +24,7 @@
   readonly answerId: string;
   /** Whether the response carried a signature. */
   readonly signed: boolean;
+  /** The end of the body. */
   readonly body: string;
   /** Whether the response was missing or incomplete. */
   readonly broken: boolean;
@@ -139,6 +140,23 @@
       }));
   }
 
+  /** Returns a violation for each request that has run and that a process not killed cut off. */
+  checkLosses(
+    upstreams: readonly PlatformUpstream[],
+    killed: ReadonlySet<string>,
+  ): readonly Violation[] {
+    const ran = new Set(upstreams.flatMap(({ runs }) => runs.map(({ id }) => id)));
+    return this.outcomes
+      .filter(({ id, gateway, life }) => ran.has(id) && !killed.has(`${gateway} ${life}`))
+      .filter(
+        ({ status, sentAt, endedAt }) => status === 0 && endedAt - sentAt < REQUEST_DEADLINE_MS,
+      )
+      .map((outcome) => ({
+        promise: 'a request that has run is answered',
+        detail: JSON.stringify(outcome),
+      }));
+  }
+
   /** Returns a violation for each upstream that got more than its limit allows in some window. */
   checkLimits(upstreams: readonly PlatformUpstream[]): readonly Violation[] {
     return this.limits.flatMap(({ id, perSecond, from, until }) => {
--- a/test/soak/gateways/pipelining-callers.ts
+++ b/test/soak/gateways/pipelining-callers.ts
@@ -10,6 +10,11 @@
 /** Time in milliseconds after which a caller gives up what is unanswered. */
 const GIVE_UP_MS = REQUEST_DEADLINE_MS + 500;
 
+/** Length of the end of what came back that is kept. */
+const KEPT_TEXT_BYTES = 300;
+
+const countAnswers = (text: string): number => text.split('HTTP/1.1 ').length - 1;
+
 /** What became of the requests of one connection. */
 interface Burst {
   readonly ids: readonly string[];
@@ -30,22 +35,25 @@
 
   constructor(private readonly port: number) {}
 
-  /** Sends requests to a gateway; resolves when they are answered, cut off or given up. */
-  async pass(gatewayIp: string, process: string): Promise<void> {
+  /**
+   * Sends requests to a gateway; resolves when they are answered, cut off or given up. With
+   * `streamedPath`, a request for it comes first, and orders behind it.
+   */
+  async pass(gatewayIp: string, process: string, streamedPath?: string): Promise<void> {
     this.count += 1;
     const ids = Array.from({ length: PIPELINED_COUNT }, (_, i) => `ahead-${this.count}-${i}`);
+    const isSafe = (i: number): boolean => (streamedPath ? i === 0 : i % 2 === 0);
     const head = (id: string, i: number): string =>
       [
-        i % 2 === 0 ? 'GET /read/x HTTP/1.1' : 'POST /book/x HTTP/1.1',
+        isSafe(i) ? `GET ${streamedPath ?? '/read/x'} HTTP/1.1` : 'POST /book/x HTTP/1.1',
         `Host: ${HOST_NAME}`,
         `X-Redwingmount-Request-Id: ${id}`,
         `X-Redwingmount-Deadline-Ms: ${REQUEST_DEADLINE_MS}`,
-        ...(i % 2 === 0 ? [] : ['Content-Length: 0']),
+        ...(isSafe(i) ? [] : ['Content-Length: 0']),
         '\r\n',
       ].join('\r\n');
-    const chunks: Buffer[] = [];
-    const answers = (): number =>
-      Buffer.concat(chunks).toString('latin1').split('HTTP/1.1 ').length - 1;
+    let text = '';
+    let answers = 0;
     const socket = net.connect(this.port, gatewayIp, () => socket.write(ids.map(head).join('')));
     socket.on('error', () => {});
     let isGivenUp = false;
@@ -56,22 +64,17 @@
       };
       const timer = setTimeout(giveUp, GIVE_UP_MS);
       socket.on('data', (chunk: Buffer) => {
-        chunks.push(chunk);
-        if (answers() === ids.length) socket.end();
+        const joined = text + chunk.toString('latin1');
+        answers += countAnswers(joined) - countAnswers(text);
+        text = joined.slice(-KEPT_TEXT_BYTES);
+        if (answers === ids.length) socket.end();
       });
       socket.on('close', () => {
         clearTimeout(timer);
         resolve(undefined);
       });
     });
-    const text = Buffer.concat(chunks).toString('latin1').slice(-300);
-    this.bursts.push({
-      ids,
-      process,
-      answers: answers(),
-      isClosedByGateway: !isGivenUp,
-      text,
-    });
+    this.bursts.push({ ids, process, answers, isClosedByGateway: !isGivenUp, text });
   }
 
   /** Returns a violation for each request that has run and was cut off by a process not killed. */
