Decode frames of feeds without joining them anew with each chunk

A frame of megabytes that arrives in small pieces cost a gateway the square of its size in copies, as the decoder joined all that had arrived with every chunk; the gateway serves nobody meanwhile.

The decoder now keeps what arrives in HeldBytes, waits for the length of a frame, and then for the bytes of its body. A frame over the limit is refused by its length, as before.

test/gateway/feed-frames.test.ts: a frame of 2 MiB in pieces of 1 and of 1,000 bytes may copy four times its bytes (joins and copies of buffers are counted); both exceed this on the parent commit and pass now. feeds.test.ts and feed-relay.test.ts: 13 passed, 0 failed.

--- a/src/gateway/feeds/feed-frames.ts
+++ b/src/gateway/feeds/feed-frames.ts
@@ -3,6 +3,7 @@
 
 import { Packr } from 'msgpackr';
 
+import { HeldBytes } from '../../adapters/held-bytes';
 import { isCount, isString, type KeyedRecord, type PositionedPage } from '../../model';
 
 /** The feeds by their number in frames. */
@@ -73,22 +74,43 @@
   return { kind: 'page', feed, page: { isSnapshot, items, from, position } };
 };
 
+/** What the length at the start of a frame says of its body. */
+interface BodyHead {
+  readonly length: number;
+  readonly isDeflated: boolean;
+}
+
+const decodeHead = (bytes: Buffer): BodyHead => {
+  const value = bytes.readUInt32BE(0);
+  const isDeflated = value >= DEFLATED_FLAG;
+  return { length: isDeflated ? value - DEFLATED_FLAG : value, isDeflated };
+};
+
 /** Splits a stream of bytes into frames. */
 export class FeedFrameDecoder {
-  private pending: Buffer = Buffer.alloc(0);
+  private readonly held = new HeldBytes();
+
+  /** The head of the frame whose body is awaited. */
+  private head: BodyHead | undefined;
+
+  /** Bytes of memory that the part of a frame that has arrived takes. */
+  get memoryBytes(): number {
+    return this.held.memoryBytes;
+  }
 
   /** Returns the frames that `chunk` completes; undefined if the stream is malformed. */
   push(chunk: Buffer): readonly FeedFrame[] | undefined {
-    this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+    this.held.push(chunk);
     const frames: FeedFrame[] = [];
-    while (this.pending.length >= LENGTH_BYTES) {
-      const head = this.pending.readUInt32BE(0);
-      const isDeflated = head >= DEFLATED_FLAG;
-      const length = isDeflated ? head - DEFLATED_FLAG : head;
+    for (;;) {
+      if (!this.head && this.held.length >= LENGTH_BYTES)
+        this.head = decodeHead(this.held.take(LENGTH_BYTES));
+      if (!this.head) return frames;
+      const { length, isDeflated } = this.head;
       if (length > MAX_FRAME_BYTES) return undefined;
-      if (this.pending.length < LENGTH_BYTES + length) break;
-      const body = this.pending.subarray(LENGTH_BYTES, LENGTH_BYTES + length);
-      this.pending = this.pending.subarray(LENGTH_BYTES + length);
+      if (this.held.length < length) return frames;
+      this.head = undefined;
+      const body = this.held.take(length);
       try {
         const frame = decodeBody(
           isDeflated ? inflateRawSync(body, { maxOutputLength: MAX_FRAME_BYTES }) : body,
@@ -99,6 +121,5 @@
         return undefined;
       }
     }
-    return frames;
   }
 }
