Count what arrives of the store's answers on the host's account

A gateway kept up to 8 MiB for each read at the store, in chunks of whatever size, and counted none of it: callers paid for an answer of the store that is too large for the host.

Answers are now kept in HeldBytes and held on the account for the store. When memory is short and the store holds most, that read alone fails, as incomplete with "memory is short", and the next one goes on. The account is built before the store's client and is one of the gateway's ports.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,7 +29,7 @@
 import { Feeds, type ReadTiming, UpstreamRegistry } from './feeds';
 import { Fleet } from './peers';
 import { listenOnAll } from './listening';
-import { HeapGuard, HostMemory } from './memory';
+import { HeapGuard, type HostMemory } from './memory';
 import { ReadingTurns } from './reading-turns';
 import { ServiceSchedulers } from './scheduling';
 import { AnnouncementReader, ConnectionPool, PathMonitor, PeerRelay } from './sending';
@@ -43,6 +43,8 @@
   readonly decodeUpstreams: RecordDecoder<UpstreamChange>;
   readonly directoryCodec: DirectoryCodec;
   readonly readinessCodec: ReadinessCodec;
+  /** Counts what is held for peers, for the store as well. */
+  readonly memory: HostMemory;
   /** Returns all metrics in the Prometheus text format. */
   metrics(): Promise<string>;
 }
@@ -119,7 +121,7 @@
       endpoints: () => this.schedulers.readyEndpoints(),
       onChange: (isCut) => this.onPathChange(isCut),
     });
-    const memory = new HostMemory(context);
+    const { memory } = ports;
     this.heapGuard = new HeapGuard(memory, telemetry);
     const turns = new ReadingTurns(clock);
     const connections = { idHeader: headerConventions.requestId, clock, memory, turns };
--- a/test/gateway/feeds.test.ts
+++ b/test/gateway/feeds.test.ts
@@ -23,6 +23,7 @@
 import { reservePorts } from '../ports';
 
 import { httpGet, recordingTelemetry, settingsText } from './harness';
+import { hostMemory } from './host-memory';
 
 const ADDRESSES = ['127.0.0.1', '127.0.0.2', '127.0.0.3', '127.0.0.4'];
 
@@ -54,7 +55,7 @@
   const startNode = async (port: number, store: StoreStandIn, address: string): Promise<Node> => {
     const settings = parseSettings('test', settingsText(port, store.port)).unsafeCoerce();
     const telemetry = recordingTelemetry();
-    const client = new StoreClient(settings.store, systemClock);
+    const client = new StoreClient(settings.store, systemClock, hostMemory());
     const keys: string[] = [];
     let reads = 0;
     const counted = (feed: Feed<KeyedRecord>): Feed<KeyedRecord> => ({
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -219,26 +219,26 @@
     const settings = parseSettings('test', text).unsafeCoerce();
     const telemetry = recordingTelemetry();
     const clock = systemClock;
-    const client = new StoreClient(settings.store, clock);
-    const gateway = new Gateway(
-      {
-        settings,
-        clock,
-        telemetry,
-        headerConventions,
-        random: Math.random,
-        disabled: options.disabled,
-      },
-      {
-        configFeed: configFeed(client),
-        upstreamFeed: upstreamFeed(client),
-        decodeConfig: decodeConfigRecord,
-        decodeUpstreams: upstreamRecordDecoder(clock, telemetry),
-        directoryCodec,
-        readinessCodec,
-        metrics: () => Promise.resolve(''),
-      },
-    );
+    const context = {
+      settings,
+      clock,
+      telemetry,
+      headerConventions,
+      random: Math.random,
+      disabled: options.disabled,
+    };
+    const memory = new HostMemory(context);
+    const client = new StoreClient(settings.store, clock, memory);
+    const gateway = new Gateway(context, {
+      configFeed: configFeed(client),
+      upstreamFeed: upstreamFeed(client),
+      decodeConfig: decodeConfigRecord,
+      decodeUpstreams: upstreamRecordDecoder(clock, telemetry),
+      directoryCodec,
+      readinessCodec,
+      memory,
+      metrics: () => Promise.resolve(''),
+    });
     const harness = new GatewayHarness(
       store,
       upstreams,
--- a/test/gateway/silent-store.test.ts
+++ b/test/gateway/silent-store.test.ts
@@ -13,6 +13,7 @@
 import { startStore } from '../../standins/platform';
 
 import { recordingTelemetry, settingsText } from './harness';
+import { hostMemory } from './host-memory';
 
 /** Longest delay in milliseconds between a failed read and the next one. */
 const RETRY_DELAY_MS = 250;
@@ -64,7 +65,11 @@
     store.put('keyed.servers', 'u0', 'x');
     const link = await startCuttableLink(store.port, await reservePorts(1));
     closers.push(() => link.close());
-    const client = new StoreClient({ address: '127.0.0.1', port: link.port }, systemClock);
+    const client = new StoreClient(
+      { address: '127.0.0.1', port: link.port },
+      systemClock,
+      hostMemory(),
+    );
     closers.push(() => client.close());
     const read = (timeout: number): Promise<boolean> =>
       client
--- a/test/gateway/spoilt-requests.test.ts
+++ b/test/gateway/spoilt-requests.test.ts
@@ -12,6 +12,7 @@
 import { RELAY_HEADERS } from '../../src/gateway/request/relay-headers';
 
 import { configOf, entryOf, GatewayHarness, httpGet, routeOf } from './harness';
+import { hostMemory } from './host-memory';
 import { spoil } from './spoil';
 
 const SEED = 5503;
@@ -149,7 +150,7 @@
       relay.listen(0, '127.0.0.1', resolve);
     });
     const { port } = relay.address() as net.AddressInfo;
-    const client = new StoreClient({ address: '127.0.0.1', port }, systemClock);
+    const client = new StoreClient({ address: '127.0.0.1', port }, systemClock, hostMemory());
     const feed = configFeed(client);
     const deadline = (): number => systemClock.now() + 5000;
     try {
