Count what gateways hold for each other's feeds on the host's account

A reader of the feeds queues up to 4 MiB for each subscriber that reads slowly, and a subscriber keeps up to 8 MiB of a frame that is not whole; neither was counted, so that callers gave way to them.

Both are now holdings of the other gateway. What the link takes at once is not counted, as each subscriber would else be a holder for as long as it reads, and lessen the share of all others. The frame of one page is counted for each subscriber that it is queued for, though they share its bytes. When memory is short and a gateway holds most, the subscriber's stream is ended, or the subscription passes to another reader.

--- a/src/gateway/feeds/feed-relay.ts
+++ b/src/gateway/feeds/feed-relay.ts
@@ -7,6 +7,7 @@
 
 import { closeIdleOnceRead } from '../arriving/idle-timeout';
 import { ignoreBody } from '../arriving/unused-body';
+import type { Holding, HostMemory } from '../memory';
 import { encodeFeedFrame, FEEDS, type FeedFrame, type FeedName } from './feed-frames';
 
 /** Path of the stream of frames; its last part is the version of the frames. */
@@ -42,6 +43,8 @@
   readonly isDeflated: boolean;
   /** How far each feed has been sent. */
   readonly sent: Map<FeedName, number>;
+  /** Counts what is queued for it. */
+  readonly holding: Holding;
 }
 
 /** Returns a function that encodes a frame once for all subscribers of a kind. */
@@ -54,6 +57,18 @@
   };
 };
 
+/** Counts what is queued for a subscriber; what the link takes at once is not. */
+const countQueued = ({ res, holding }: Subscriber): void => {
+  holding.resize(res.writableNeedDrain ? res.writableLength : 0);
+};
+
+/** Sends a subscriber a frame. */
+const write = (subscriber: Subscriber, frame: Buffer): void => {
+  subscriber.res.write(frame);
+  // The runtime keeps what is written until the end of the turn.
+  setImmediate(guarded('feed-relay queued', () => countQueued(subscriber)));
+};
+
 /**
  * Sends the feeds that this gateway reads at the store to other gateways of its data centre, as
  * streams of frames. A subscriber that takes a page in slowly gets the next one after it, without
@@ -75,6 +90,7 @@
 
   constructor(
     private readonly telemetry: Telemetry,
+    private readonly memory: HostMemory,
     private readonly ports: FeedRelayPorts,
   ) {
     this.server = http.createServer(
@@ -106,8 +122,8 @@
     const frameFor = frameEncoder({ kind: 'page', feed, page });
     this.subscribers.forEach((subscriber) => {
       if (subscriber.res.writableNeedDrain) return;
-      subscriber.res.write(frameFor(subscriber));
       subscriber.sent.set(feed, page.position);
+      write(subscriber, frameFor(subscriber));
     });
   }
 
@@ -136,9 +152,19 @@
     }
     res.writeHead(OK, { 'content-type': 'application/octet-stream' });
     const sent = FEEDS.map((feed, i): [FeedName, number] => [feed, positions[i] ?? -1]);
-    const isDeflated = params.has(DEFLATE_PARAM);
-    const subscriber: Subscriber = { res, isDeflated, sent: new Map(sent) };
-    FEEDS.forEach((feed) => this.sendRest(subscriber, feed));
+    this.serve({
+      res,
+      isDeflated: params.has(DEFLATE_PARAM),
+      sent: new Map(sent),
+      holding: this.memory.open({ kind: 'gateway', id: res.socket?.remoteAddress ?? '' }, () =>
+        res.destroy(),
+      ),
+    });
+  }
+
+  /** Sends a subscriber what it lacks, and all that follows until its stream ends. */
+  private serve(subscriber: Subscriber): void {
+    const { res } = subscriber;
     this.subscribers.add(subscriber);
     this.telemetry.count('feed_subscribers');
     res.on(
@@ -147,7 +173,10 @@
     );
     res.on(
       'close',
-      guarded('feed-relay close', () => this.subscribers.delete(subscriber)),
+      guarded('feed-relay close', () => {
+        subscriber.holding.close();
+        this.subscribers.delete(subscriber);
+      }),
     );
     res.on(
       'error',
@@ -155,6 +184,7 @@
         this.telemetry.event('feed-subscriber-error', { error: err.message }),
       ),
     );
+    FEEDS.forEach((feed) => this.sendRest(subscriber, feed));
     this.checkTimer ??= setInterval(
       guarded('feed-relay timer', () => this.checkContact()),
       CONTACT_CHECK_INTERVAL_MS,
@@ -164,11 +194,12 @@
   /** Sends a subscriber what follows the last page of a feed that it was sent. */
   private sendRest(subscriber: Subscriber, feed: FeedName): void {
     const page = this.histories[feed].since(subscriber.sent.get(feed) ?? -1);
-    subscriber.res.write(encodeFeedFrame({ kind: 'page', feed, page }, subscriber.isDeflated));
     subscriber.sent.set(feed, page.position);
+    write(subscriber, encodeFeedFrame({ kind: 'page', feed, page }, subscriber.isDeflated));
   }
 
   private onDrain(subscriber: Subscriber): void {
+    countQueued(subscriber);
     const isBehind = (feed: FeedName): boolean =>
       (subscriber.sent.get(feed) ?? -1) < this.histories[feed].position;
     FEEDS.filter(isBehind).forEach((feed) => this.sendRest(subscriber, feed));
@@ -188,9 +219,9 @@
   }
 
   private sendToAll(frame: Buffer): void {
-    this.subscribers.forEach(({ res }) => {
-      if (res.writableLength > MAX_QUEUED_BYTES) res.destroy();
-      else res.write(frame);
+    this.subscribers.forEach((subscriber) => {
+      if (subscriber.res.writableLength > MAX_QUEUED_BYTES) subscriber.res.destroy();
+      else write(subscriber, frame);
     });
   }
 
--- a/src/gateway/feeds/feed-subscription.ts
+++ b/src/gateway/feeds/feed-subscription.ts
@@ -5,6 +5,7 @@
 import type { Incarnation, Member, Millis, PositionedPage, FeedPositions } from '../../model';
 import type { Telemetry } from '../../ports';
 
+import type { Holding, HostMemory } from '../memory';
 import { FeedFrameDecoder, type FeedFrame, type FeedName } from './feed-frames';
 import { DEFLATE_PARAM, FEED_BEAT_INTERVAL_MS, FEED_STREAM_PATH } from './feed-relay';
 
@@ -37,6 +38,8 @@
   readonly req: ClientRequest;
   readonly timer: NodeJS.Timeout;
   readonly decoder: FeedFrameDecoder;
+  /** Counts the part of a frame that has arrived. */
+  readonly holding: Holding;
 }
 
 /**
@@ -64,6 +67,7 @@
 
   constructor(
     private readonly telemetry: Telemetry,
+    private readonly memory: HostMemory,
     private readonly subscriber: FeedSubscriber,
   ) {}
 
@@ -117,6 +121,9 @@
         SILENCE_TIMEOUT_MS,
       ),
       decoder: new FeedFrameDecoder(),
+      holding: this.memory.open({ kind: 'gateway', id: reader.address }, () =>
+        this.fail(connection, 'memory is short'),
+      ),
     };
     this.connection = connection;
     this.hasFrame = false;
@@ -157,6 +164,7 @@
       this.fail(connection, frames ? 'page out of order' : 'malformed frame');
       return;
     }
+    if (!connection.holding.resize(connection.decoder.memoryBytes)) return;
     if (this.hasFrame || frames.length === 0) return;
     this.hasFrame = true;
     this.telemetry.event('feed-reader-connected', { reader: connection.reader.address });
@@ -192,6 +200,7 @@
     clearTimeout(connection.timer);
     this.connection = undefined;
     connection.req.destroy();
+    connection.holding.close();
     if (this.hasFrame) {
       const { address } = connection.reader;
       this.telemetry.event('feed-reader-lost', { reader: address, reason });
--- a/src/gateway/feeds/feeds.ts
+++ b/src/gateway/feeds/feeds.ts
@@ -14,6 +14,7 @@
 import type { Feed } from '../../ports';
 
 import type { GatewayContext } from '../context';
+import type { HostMemory } from '../memory';
 import type { FeedName } from './feed-frames';
 import { FeedRelay } from './feed-relay';
 import { FeedSubscription } from './feed-subscription';
@@ -65,6 +66,8 @@
 export interface FeedsService {
   readonly configFeed: Feed<KeyedRecord>;
   readonly upstreamFeed: Feed<KeyedRecord>;
+  /** Counts what is held for other gateways. */
+  readonly memory: HostMemory;
   onConfig(page: FeedPage<KeyedRecord>): void;
   onUpstreams(page: FeedPage<KeyedRecord>, timing: ReadTiming): void;
   /**
@@ -104,7 +107,7 @@
     service: FeedsService,
   ) {
     const { telemetry } = context;
-    this.relay = new FeedRelay(telemetry, {
+    this.relay = new FeedRelay(telemetry, service.memory, {
       isInContact: () => this.isInContact,
       proveContact: () => this.proveContact(),
       onOtherRequest: (req, res) => service.onPeerRequest(req, res),
@@ -152,7 +155,7 @@
         },
       ),
     };
-    this.subscription = new FeedSubscription(telemetry, {
+    this.subscription = new FeedSubscription(telemetry, service.memory, {
       positions: () => this.positions,
       onPage: (feed, page) => this.followers[feed].onRelayedPage(page),
       onConnected: () => this.setRelayed(true),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -133,6 +133,7 @@
     this.feeds = new Feeds(context, {
       configFeed,
       upstreamFeed,
+      memory,
       onConfig: (page) => {
         this.inForce.apply(page.items.flatMap(ports.decodeConfig));
         this.fleet.freshness.onApplied(page.position);
--- a/test/gateway/feed-reader.ts
+++ b/test/gateway/feed-reader.ts
@@ -6,14 +6,16 @@
 import type { Member } from '../../src/model';
 
 import { recordingTelemetry } from './harness';
+import { hostMemory } from './host-memory';
 
 const ADDRESS = '127.0.0.1';
 
 /** A reader of the feeds that has read one empty page of each; `closers` gets what ends it. */
 export const startReader = async (
   closers: (() => void)[],
+  memory = hostMemory(),
 ): Promise<{ readonly relay: FeedRelay; readonly port: number; readonly reader: Member }> => {
-  const relay = new FeedRelay(recordingTelemetry(), {
+  const relay = new FeedRelay(recordingTelemetry(), memory, {
     isInContact: () => true,
     proveContact: () => Promise.resolve(),
     onOtherRequest: () => false,
--- a/test/gateway/feed-relay.test.ts
+++ b/test/gateway/feed-relay.test.ts
@@ -10,6 +10,7 @@
 
 import { startReader } from './feed-reader';
 import { recordingTelemetry, routeOf } from './harness';
+import { hostMemory } from './host-memory';
 
 const ADDRESS = '127.0.0.1';
 const ROUTE_COUNT = 1400;
@@ -46,7 +47,7 @@
   it('takes a fifth of its bytes on the link at most', async () => {
     const { relay, reader } = await startReader(closers);
     const pages: PositionedPage[] = [];
-    const subscription = new FeedSubscription(recordingTelemetry(), {
+    const subscription = new FeedSubscription(recordingTelemetry(), hostMemory(), {
       positions: () => [0, 0],
       onPage: (_, page) => pages.push(page) > 0,
       onConnected: () => {},
@@ -100,7 +101,7 @@
   // Guards against a data centre that moves to a small host while its readers are suspected.
   it('does not move a subscriber while its reader goes on to send', async () => {
     const [first, second] = [await startReader(closers), await startReader(closers)];
-    const subscription = new FeedSubscription(recordingTelemetry(), {
+    const subscription = new FeedSubscription(recordingTelemetry(), hostMemory(), {
       positions: () => [0, 0],
       onPage: () => true,
       onConnected: () => {},
--- a/test/gateway/feed-subscription.test.ts
+++ b/test/gateway/feed-subscription.test.ts
@@ -5,15 +5,20 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { listen } from '../../src/adapters/listen';
+import { encodeFeedFrame } from '../../src/gateway/feeds/feed-frames';
 import { FeedSubscription } from '../../src/gateway/feeds/feed-subscription';
 import type { Member } from '../../src/model';
 
 import { block } from './callers-while-blocked';
 import { startReader } from './feed-reader';
 import { recordingTelemetry } from './harness';
+import { hostMemory } from './host-memory';
 
 const RECORD = { key: 'u', value: Buffer.from('x') };
 const ADDRESS = '127.0.0.1';
+/** A page without its records, and the size in bytes of a large one. */
+const LARGE_PAGE = { isSnapshot: true, from: 0, position: 1 };
+const PAGE_BYTES = 2 ** 20;
 /** Time in milliseconds after which a lost reader must have been noticed. */
 const NOTICE_MS = 700;
 /** Longer than a reader may be silent. */
@@ -34,12 +39,14 @@
     return { reader, send: () => relay.publish('upstreams', page), stop: () => relay.close() };
   };
 
-  const subscribe = (): {
+  const subscribe = (
+    memory = hostMemory(),
+  ): {
     readonly subscription: FeedSubscription;
     readonly calls: string[];
   } => {
     const calls: string[] = [];
-    const subscription = new FeedSubscription(recordingTelemetry(), {
+    const subscription = new FeedSubscription(recordingTelemetry(), memory, {
       positions: () => [0, 0],
       onPage: () => true,
       onConnected: () => calls.push('connected'),
@@ -128,4 +135,57 @@
     await until(() => calls.length === 2);
     expect(calls).toEqual(['connected', 'lost']);
   });
+
+  /** Starts a reader that sends a part of a frame, and `rest` of it when asked to. */
+  const startPartSender = async (
+    partBytes: number,
+  ): Promise<{ readonly reader: Member; readonly sendRest: () => void }> => {
+    const frame = encodeFeedFrame({
+      kind: 'page',
+      feed: 'config',
+      page: { ...LARGE_PAGE, items: [{ key: 'config', value: Buffer.alloc(PAGE_BYTES) }] },
+    });
+    const rests: (() => void)[] = [];
+    const server = createServer((_, res) => {
+      res.write(encodeFeedFrame({ kind: 'beat' }));
+      res.write(frame.subarray(0, partBytes));
+      rests.push(() => res.write(frame.subarray(partBytes)));
+    });
+    await listen(server, ADDRESS, 0);
+    closers.push(() => {
+      server.close();
+      server.closeAllConnections();
+    });
+    const { port } = server.address() as AddressInfo;
+    const { reader } = await startSender();
+    return {
+      reader: { ...reader, incarnation: `p${port}`, peerPort: port },
+      sendRest: () => rests.splice(0).forEach((rest) => rest()),
+    };
+  };
+
+  it('counts the part of a frame that has arrived, until the frame is whole', async () => {
+    const memory = hostMemory();
+    const { reader, sendRest } = await startPartSender(PAGE_BYTES / 2);
+    const { subscription } = subscribe(memory);
+    subscription.setSource({ kind: 'readers', readers: [reader] });
+    await until(() => memory.total >= PAGE_BYTES / 2);
+    expect(memory.total <= 1.25 * PAGE_BYTES).toEqual(true);
+    sendRest();
+    await until(() => memory.total === 0);
+    expect(subscription.isConnected).toEqual(true);
+  });
+
+  it('passes to another reader when memory is short for a frame', async () => {
+    const telemetry = recordingTelemetry();
+    const memory = hostMemory(PAGE_BYTES / 4, telemetry);
+    const { reader } = await startPartSender(PAGE_BYTES / 2);
+    const next = await startSender();
+    const { subscription } = subscribe(memory);
+    subscription.setSource({ kind: 'readers', readers: [reader, next.reader] });
+    await until(() => subscription.reader === next.reader.incarnation);
+    const given = telemetry.events.filter(({ name }) => name === 'memory-given-up');
+    expect(given.map(({ fields }) => fields.peer)).toEqual(['gateway']);
+    expect(memory.total).toEqual(0);
+  });
 });
--- a/test/gateway/feeds.test.ts
+++ b/test/gateway/feeds.test.ts
@@ -73,6 +73,7 @@
       {
         configFeed: counted(configFeed(client)),
         upstreamFeed: counted(upstreamFeed(client)),
+        memory: hostMemory(),
         onPeerRequest: () => false,
         onConfig: () => {},
         maxProofWait: () => undefined,
@@ -202,6 +203,7 @@
       {
         configFeed: feed,
         upstreamFeed: feed,
+        memory: hostMemory(),
         onPeerRequest: () => false,
         onConfig: () => {},
         maxProofWait: () => undefined,
@@ -226,7 +228,7 @@
 
 describe('the server of the feeds', () => {
   it('answers 404 to what is no subscription', async () => {
-    const relay = new FeedRelay(recordingTelemetry(), {
+    const relay = new FeedRelay(recordingTelemetry(), hostMemory(), {
       isInContact: () => true,
       proveContact: () => Promise.resolve(),
       onOtherRequest: () => false,
--- a/test/gateway/silent-store.test.ts
+++ b/test/gateway/silent-store.test.ts
@@ -44,6 +44,7 @@
         {
           configFeed: hangingFeed('config'),
           upstreamFeed: hangingFeed('upstreams'),
+          memory: hostMemory(),
           onPeerRequest: () => false,
           onConfig: () => {},
           maxProofWait: () => undefined,
