Keep answers of JSON services in blocks

An answer of up to 256 MiB was kept as it came, with an object of the heap for each piece; the node's side alone reads such answers. It is kept in HeldBytes now. No test shows this red before: the result is the same bytes, and HeldBytes has its own tests. platform-log-http and import-cycles pass.

--- a/src/adapters/json-http.ts
+++ b/src/adapters/json-http.ts
@@ -4,6 +4,8 @@
 
 import type { Millis } from '../model';
 
+import { HeldBytes } from './held-bytes';
+
 /** The reason why a JSON service gave no usable answer. */
 export type ExchangeError =
   /** No connection was established, so the service has received nothing. */
@@ -35,14 +37,12 @@
 
 /** Reads the body as UTF-8; undefined if it is too long. Rejects if the connection is lost. */
 const readBody = async (res: IncomingMessage): Promise<string | undefined> => {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const held = new HeldBytes();
   for await (const chunk of res as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > MAX_ANSWER_BYTES) return undefined;
-    chunks.push(chunk);
+    held.push(chunk);
+    if (held.length > MAX_ANSWER_BYTES) return undefined;
   }
-  return Buffer.concat(chunks).toString('utf8');
+  return held.take().toString('utf8');
 };
 
 const parseAnswer = (status: number, text: string): Either<ExchangeError, JsonAnswer> => {
