Bound the datagrams that wait to be sent

A host whose link is down or slow kept all datagrams to its peers, as the runtime's queue has no bound. At most 4 MiB wait now; further ones are dropped and counted as datagrams_unsent, as lost ones are, and later messages make up for them. The count is the link's own: getSendQueueSize() leaves out those whose address is being looked up, which is all that is sent within one turn.

--- a/src/gateway/peers/peer-link.ts
+++ b/src/gateway/peers/peer-link.ts
@@ -20,6 +20,11 @@
 
 /** Size in bytes above which a datagram is counted as large, as IP would fragment it. */
 export const MAX_DATAGRAM_BYTES = 1400;
+/**
+ * Size in bytes of the datagrams that may wait to be sent; further ones are dropped. The runtime's own
+ * queue has no bound, and says nothing of those whose address is being looked up.
+ */
+const MAX_UNSENT_BYTES = 4 * 2 ** 20;
 
 /**
  * Sends and receives UDP datagrams between gateways. Lost datagrams are not repeated; later messages make up for them.
@@ -27,6 +32,9 @@
 export class DatagramLink {
   private readonly socket = dgram.createSocket('udp4');
 
+  /** Size of the datagrams that wait to be sent. */
+  private unsentBytes = 0;
+
   constructor(
     private readonly telemetry: Telemetry,
     private readonly service: PeerService,
@@ -77,7 +85,13 @@
 
   private transmit(to: PeerAddress, topic: PeerTopic, bytes: Buffer): void {
     if (bytes.length > MAX_DATAGRAM_BYTES) this.telemetry.count('datagrams_large', { topic });
+    if (this.unsentBytes + bytes.length > MAX_UNSENT_BYTES) {
+      this.telemetry.count('datagrams_unsent', { topic });
+      return;
+    }
+    this.unsentBytes += bytes.length;
     const onSent = guarded('peer-link sent', (err: Error | null) => {
+      this.unsentBytes -= bytes.length;
       if (err) this.telemetry.count('datagrams_unsent', { topic });
     });
     this.socket.send(bytes, to.peerPort, to.address, onSent);
