--- a/src/gateway/sending/upstream-connection.ts
+++ b/src/gateway/sending/upstream-connection.ts
@@ -11,29 +11,15 @@
 import { AnswerParser, headerOf, type AnswerHead } from './answer-parser';
 import { AnswerStream } from './answer-stream';
 import type { Exchange, ExchangeFault, ExchangeResult } from './exchange';
+import { startTimers } from './exchange-timers';
+import { idleTimeOf } from './idle-time';
+import { ReceivedBytes } from './received-bytes';
 
 /**
  * Maximum size in bytes of an answer that is held until complete, so that the request can be
  * retried if the answer breaks off.
  */
 const MAX_HELD_ANSWER_BYTES = 2 * 2 ** 20;
-/**
- * Maximum number of bytes around the body of an answer: heads, interim answers, chunk framing and
- * trailers.
- */
-const MAX_FRAMING_BYTES = 128 * 1024;
-/** Number of bytes of framing that each byte of the body may add to that. */
-const MAX_FRAMING_RATIO = 16;
-/** Maximum number of bytes of answers to other requests that are skipped in an exchange. */
-const MAX_SKIPPED_BYTES = 2 * 2 ** 20;
-/** Idle time-out in milliseconds of a connection if the upstream sends no Keep-Alive timeout. */
-const DEFAULT_IDLE_MS: Millis = 4000;
-/** Time in milliseconds by which a connection is given up before the upstream would close it. */
-const IDLE_MARGIN_MS: Millis = 1000;
-const MILLIS_PER_SECOND = 1000;
-/** Maximum number of heads in an exchange: interim answers, and answers to other requests. */
-const MAX_HEADS = 100;
-
 /** Ends a count at the latest when the request is over for which the bytes are held. */
 const closeWhen = (over: AbortSignal, holding: Holding): void => {
   if (over.aborted) holding.close();
@@ -52,13 +38,6 @@
   readonly turns: SliceTurns;
 }
 
-/** Returns the milliseconds for which a connection may be reused after an answer with this head. */
-const idleTimeOf = (head: AnswerHead): Millis => {
-  const match = /timeout=(\d+)/.exec(headerOf(head.rawHeaders, 'keep-alive') ?? '');
-  if (!match) return DEFAULT_IDLE_MS;
-  return Math.max(0, Number(match[1]) * MILLIS_PER_SECOND - IDLE_MARGIN_MS);
-};
-
 /** The exchange in progress on a connection, with what has been read of its answer. */
 interface RunningExchange {
   readonly exchange: Exchange;
@@ -105,8 +84,8 @@
 
   private running: RunningExchange | undefined;
 
-  /** Numbers of bytes received in the current exchange (all, the answer's body, skipped ones), and of heads. */
-  private received = { all: 0, body: 0, skipped: 0, heads: 0 };
+  /** What has been received in the current exchange. */
+  private received = new ReceivedBytes();
 
   /** Number of pieces that have been parsed. */
   private pieces = 0;
@@ -167,7 +146,7 @@
    * idle, and a new one must be connected by `connectBy`.
    */
   run(exchange: Exchange, connectBy: Instant): Promise<ExchangeResult> {
-    this.received = { all: 0, body: 0, skipped: 0, heads: 0 };
+    this.received = new ReceivedBytes();
     this.isFirst = !this.connected;
     this.idleFor = this.connected ? this.context.clock.now() - this.idleSince : 0;
     return new Promise((resolve) => {
@@ -175,32 +154,19 @@
         this.fail(why);
         this.close();
       };
-      const isOver = (why: 'timeout' | 'connect-timeout'): boolean =>
-        this.running?.exchange !== exchange || (why === 'connect-timeout' && this.connected);
-      // Timers run before the sockets are polled, at which the answer may have arrived in time.
-      const until = (deadline: Instant, why: 'timeout' | 'connect-timeout'): NodeJS.Timeout =>
-        setTimeout(
-          guarded('upstream-connection timer', () =>
-            setImmediate(
-              guarded('upstream-connection timer', () => {
-                if (!isOver(why)) giveUp(why);
-              }),
-            ),
-          ),
-          Math.max(0, deadline - this.context.clock.now()),
-        );
-      const timer = until(exchange.deadline, 'timeout');
-      const connectTimer = this.connected ? undefined : until(connectBy, 'connect-timeout');
-      const onAbort = guarded('upstream-connection abort', () => giveUp('cancelled'));
-      exchange.signal.addEventListener('abort', onAbort, { once: true });
+      const timers = startTimers(
+        exchange,
+        this.connected ? undefined : connectBy,
+        this.context.clock,
+        (why) => {
+          const isOver = why === 'connect-timeout' && this.connected;
+          if (this.running?.exchange === exchange && !isOver) giveUp(why);
+        },
+      );
       this.running = {
         exchange,
         resolve,
-        stopTimers: () => {
-          clearTimeout(timer);
-          clearTimeout(connectTimer);
-          exchange.signal.removeEventListener('abort', onAbort);
-        },
+        stopTimers: () => timers.stop(),
         holding: this.context.memory.open(this.peer, (isOverShare) =>
           giveUp(isOverShare ? 'held-too-much' : 'memory-short'),
         ),
@@ -214,7 +180,7 @@
           'connect',
           guarded('upstream-connection connect', () => {
             this.connected = true;
-            clearTimeout(connectTimer);
+            timers.onConnected();
             if (this.running?.exchange === exchange) this.send(exchange);
           }),
         );
@@ -258,7 +224,7 @@
     }
     const before = this.pieces;
     this.received.all += slice.length;
-    if (this.parser.parse(slice, moreFollows) && !this.isExcessive) this.countHeld();
+    if (this.parser.parse(slice, moreFollows) && !this.received.isExcessive) this.countHeld();
     else {
       this.fail('malformed');
       this.close();
@@ -292,14 +258,6 @@
     if (this.input.waiting === 0 && !this.running?.stream?.isFull) this.socket.resume();
   }
 
-  /** Whether the upstream has sent more than an answer may have beside its body. */
-  private get isExcessive(): boolean {
-    const { all, body, skipped, heads } = this.received;
-    if (heads > MAX_HEADS) return true;
-    const framing = all - body - skipped;
-    return framing > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * body || skipped > MAX_SKIPPED_BYTES;
-  }
-
   /** Handles the end of the connection, once all that has been received is read. */
   private onSocketClose(): void {
     this.hasClosed = true;
