Have no request that runs give way to a crowd, and share turns by peer

A small request is refused (503, it has not run) unless a peer holds a tenth of the limit, or a caller four times its share: that one gives way. An upstream is blamed from a tenth of the limit on. The last tenth is left to answers. Turns go round by peer, not by connection, for up to a quarter of the time. A stream gives its reader more only when all is taken. What is whole does not stall.

--- a/src/core/memory/memory-account.ts
+++ b/src/core/memory/memory-account.ts
@@ -8,6 +8,12 @@
 const DEFAULT_BUFFER_LIMIT_BYTES = 48 * 2 ** 20;
 /** Ratio of the limit that large bodies may take; the rest is for small ones and for answers. */
 const LARGE_BODIES_RATIO = 0.8;
+/** Ratio of the limit that requests may take; the rest is for the answers of those that run. */
+const REQUESTS_RATIO = 0.9;
+/** Ratio of the limit from which a peer holds much, however many others there are. */
+const MUCH_RATIO = 0.1;
+/** Multiple of its share from which a caller gives way to one that holds no more than its own. */
+const CALLER_EXCESS = 4;
 
 /** Returns the limit of the buffered bytes of a host that is killed at `memoryBytes`. */
 export const bufferLimitOf = (memoryBytes: number): number =>
@@ -45,9 +51,9 @@
     return this.sum;
   }
 
-  /** Whether a large body of this size can be held beside what is held now. */
-  hasRoomFor(bytes: number): boolean {
-    return this.sum + bytes < LARGE_BODIES_RATIO * this.limit();
+  /** Whether a large body of this size, or else a small request, can be held beside what is held. */
+  hasRoomFor(bytes: number, isSmall = false): boolean {
+    return this.sum + bytes < (isSmall ? REQUESTS_RATIO : LARGE_BODIES_RATIO) * this.limit();
   }
 
   get isOverLimit(): boolean {
@@ -68,13 +74,28 @@
     return sum;
   }
 
+  /** Whether the peer of a holder would hold no more than its share, which all peers have alike. */
+  isWithinShare({ peer }: Holder, more: number): boolean {
+    return (this.peers.get(keyOf(peer))?.sum ?? 0) + more <= this.share;
+  }
+
+  /** Whether so much is held for the peer of a holder that it is the cause when memory is short. */
+  holdsMuch({ peer }: Holder): boolean {
+    return (
+      (this.peers.get(keyOf(peer))?.sum ?? 0) > Math.max(this.share, MUCH_RATIO * this.limit())
+    );
+  }
+
   /**
-   * Whether a peer would hold no more than its share of the limit, which all that hold something
-   * have alike.
+   * Returns the holder to give way to a small request of a peer that holds little; undefined if none
+   * holds so much more that the request is not to be refused. Load pattern: a crowd of callers that
+   * each hold as much as the next; none of those whose requests run gives way to a new one.
    */
-  isWithinShare({ peer }: Holder, more: number): boolean {
-    const held = this.peers.get(keyOf(peer))?.sum ?? 0;
-    return held + more <= this.limit() / Math.max(1, this.peers.size);
+  holderInTheWay(): Holder | undefined {
+    const largest = this.largestHolder();
+    if (largest && this.holdsMuch(largest)) return largest;
+    const excess = CALLER_EXCESS * this.share;
+    return this.largestHolder((key, sum) => key.startsWith('caller ') && sum > excess);
   }
 
   /** Counts `bytes` for a holder, in place of what it held. */
@@ -95,8 +116,12 @@
    * most, the oldest of several. The newest peer is spared, as it had no chance yet, unless it is the
    * only one.
    */
-  largestHolder(): Holder | undefined {
-    const peers = [...this.peers.values()];
+  largestHolder(
+    isCandidate: (key: string, sum: number) => boolean = () => true,
+  ): Holder | undefined {
+    const peers = [...this.peers]
+      .filter(([key, { sum }]) => isCandidate(key, sum))
+      .map(([, peer]) => peer);
     const candidates = peers.length > 1 ? peers.slice(0, -1) : peers;
     const largest = candidates.reduce<PeerBytes | undefined>(
       (most, peer) => (peer.sum > (most?.sum ?? 0) ? peer : most),
@@ -112,6 +137,10 @@
     return found;
   }
 
+  private get share(): number {
+    return this.limit() / Math.max(1, this.peers.size);
+  }
+
   private peerOf({ peer }: Holder): PeerBytes | undefined {
     return this.peers.get(keyOf(peer));
   }
--- a/src/gateway/arriving/body-reader.ts
+++ b/src/gateway/arriving/body-reader.ts
@@ -117,6 +117,7 @@
     if (this.isOver) return;
     this.isOver = true;
     clearTimeout(this.timer);
+    this.options.holding.noteComplete();
     this.options.onWhole(this.body.take());
   }
 
--- a/src/gateway/arriving/sliced-input.ts
+++ b/src/gateway/arriving/sliced-input.ts
@@ -62,6 +62,8 @@
     () => this.socket.destroy(),
   );
 
+  private readonly peer: string;
+
   /** Counts what waits for its turn. */
   private readonly holding: Holding | undefined;
 
@@ -71,6 +73,7 @@
     private readonly options: SlicedInputOptions | undefined,
   ) {
     const peer = { kind: 'caller', id: `${socket.remoteAddress}:${socket.remotePort}` } as const;
+    this.peer = `${peer.kind} ${peer.id}`;
     this.holding = options?.memory.open(peer, () => {
       this.drop();
       socket.destroy();
@@ -188,7 +191,7 @@
       },
       () => this.socket.destroy(),
     );
-    this.options?.turns.add(() => {
+    this.options?.turns.add(this.peer, () => {
       onTurn();
       return false;
     });
--- a/src/gateway/memory/host-memory.ts
+++ b/src/gateway/memory/host-memory.ts
@@ -23,12 +23,14 @@
    */
   resize(bytes: number): boolean;
   /**
-   * Counts what is yet to be held, unless there is no room for it; something small has room while its
-   * peer holds no more than its share. Returns whether it may be held.
+   * Counts what is yet to be held, unless there is no room for it; a peer that holds much more gives
+   * way to something small of one that holds no more than its share. Returns whether it may be held.
    */
   claim(bytes: number, isSmall: boolean): boolean;
   /** Notes that bytes have arrived that were claimed before. */
   noteProgress(): void;
+  /** Notes that nothing is to arrive, so that it doesn't count as stalled. */
+  noteComplete(): void;
   /** Ends the count; closing it again has no effect. */
   close(): void;
 }
@@ -59,6 +61,10 @@
     this.progressAt = this.memory.now();
   }
 
+  noteComplete(): void {
+    this.progressAt = Number.POSITIVE_INFINITY;
+  }
+
   close(): void {
     if (this.isOpen) this.memory.close(this);
   }
@@ -112,11 +118,7 @@
 
   claim(holding: OpenHolding, bytes: number, isSmall: boolean): boolean {
     const more = bytes - this.account.bytesOf(holding);
-    const hasRoom =
-      more <= 0 ||
-      this.account.hasRoomFor(more) ||
-      (isSmall && this.account.isWithinShare(holding, more));
-    if (!hasRoom) {
+    if (more > 0 && !this.makeRoom(holding, more, isSmall)) {
       this.stallTimer ??= this.startStallTimer();
       return false;
     }
@@ -124,6 +126,18 @@
     return holding.isOpen;
   }
 
+  /** Whether there is room for more, once others that are in the way of something small are gone. */
+  private makeRoom(holding: OpenHolding, more: number, isSmall: boolean): boolean {
+    if (this.account.hasRoomFor(more)) return true;
+    if (!isSmall || !this.account.isWithinShare(holding, more)) return false;
+    while (!this.account.hasRoomFor(more, isSmall)) {
+      const inTheWay = this.account.holderInTheWay();
+      if (!inTheWay || inTheWay === holding) return false;
+      this.letGo(inTheWay, 'limit');
+    }
+    return true;
+  }
+
   close(holding: OpenHolding): void {
     this.account.resize(holding, 0);
     Object.assign(holding, { isOpen: false });
@@ -132,9 +146,13 @@
   /** Has the largest holder give way; returns whether there was one. */
   giveWay(why: 'limit' | 'stalled' | 'heap'): boolean {
     const holding = this.account.largestHolder();
-    if (!holding) return false;
+    if (holding) this.letGo(holding, why);
+    return holding !== undefined;
+  }
+
+  private letGo(holding: OpenHolding, why: 'limit' | 'stalled' | 'heap'): void {
     const { kind, id } = holding.peer;
-    const isOverShare = !this.account.isWithinShare(holding, 0);
+    const isOverShare = this.account.holdsMuch(holding);
     this.context.telemetry.count('memory_given_up', { peer: kind, why });
     this.context.telemetry.event('memory-given-up', {
       why,
@@ -145,7 +163,6 @@
     });
     this.close(holding);
     holding.onGiveWay(isOverShare);
-    return true;
   }
 
   /** Sets the gauges of what is held. */
--- a/src/gateway/reading-turns.ts
+++ b/src/gateway/reading-turns.ts
@@ -4,9 +4,9 @@
 import type { Clock } from '../ports';
 
 /** Share of the time that expensive reads of all peers together may take. */
-const READING_SHARE = 0.1;
+const READING_SHARE = 0.25;
 /** Time in milliseconds that they may take, in turns of their own, after a rest. */
-const READING_BURST_MS: Millis = 20;
+const READING_BURST_MS: Millis = 50;
 /** Longest time in milliseconds that is counted for one read. */
 const MAX_READ_COST_MS: Millis = 50;
 
@@ -15,8 +15,8 @@
 
 /**
  * Reads what peers send at a high cost by byte, such as bodies in chunks of one byte: one slice in a
- * turn of the event loop for all peers together, round robin, and for no more than `READING_SHARE`
- * of the time once `READING_BURST_MS` is used up. A peer adds itself when a slice was expensive, and
+ * turn of the event loop for all peers together, round robin by peer, and for no more than
+ * `READING_SHARE` of the time once `READING_BURST_MS` is used up. A peer adds itself when a slice was expensive, and
  * stops its socket meanwhile. Load pattern: a few peers that send such bytes without end, beside
  * many with cheap ones that must not wait for them: beside two such strangers at least 0.9 of
  * the requests are served that are served without them, with a p99 of less than twice.
@@ -28,20 +28,23 @@
     maxCost: MAX_READ_COST_MS,
   });
 
-  private readonly waiting: ReadSlice[] = [];
+  /** What waits, by peer, in the order of their turns. */
+  private readonly waiting = new Map<string, ReadSlice[]>();
 
   private isScheduled = false;
 
   constructor(private readonly clock: Pick<Clock, 'now'>) {}
 
-  /** Has a peer's slices read in turn, until `read` returns false. */
-  add(read: ReadSlice): void {
-    this.waiting.push(read);
+  /** Has a peer's slices read in turn, until `read` returns false; what `read` throws ends its turns. */
+  add(peer: string, read: ReadSlice): void {
+    const reads = this.waiting.get(peer);
+    if (reads) reads.push(read);
+    else this.waiting.set(peer, [read]);
     this.schedule();
   }
 
   private schedule(): void {
-    if (this.isScheduled || this.waiting.length === 0) return;
+    if (this.isScheduled || this.waiting.size === 0) return;
     this.isScheduled = true;
     const onTurn = guarded('reading-turns timer', () => this.onTurn());
     const wait = this.time.dueAt - this.clock.now();
@@ -52,11 +55,17 @@
 
   private onTurn(): void {
     this.isScheduled = false;
-    const read = this.waiting.shift();
+    const [next] = this.waiting;
+    if (!next) return;
+    const [peer, reads] = next;
+    const read = reads.shift();
+    this.waiting.delete(peer);
     const startedAt = this.clock.now();
     try {
-      if (read?.()) this.waiting.push(read);
+      if (read?.()) reads.push(read);
     } finally {
+      const added = this.waiting.get(peer) ?? [];
+      if (reads.length + added.length > 0) this.waiting.set(peer, [...reads, ...added]);
       this.time.record(startedAt, this.clock.now());
       this.schedule();
     }
--- a/src/gateway/sending/answer-input.ts
+++ b/src/gateway/sending/answer-input.ts
@@ -20,7 +20,7 @@
 
 /** Reads what costs much by byte, a slice in a turn of the event loop for all peers together. */
 export interface SliceTurns {
-  add(read: () => boolean): void;
+  add(peer: string, read: () => boolean): void;
 }
 
 /**
@@ -34,6 +34,7 @@
   private sliceBytes = MIN_SLICE_BYTES;
 
   constructor(
+    private readonly peer: string,
     private readonly turns: SliceTurns,
     private readonly handler: AnswerInputHandler,
   ) {}
@@ -49,7 +50,7 @@
     this.unread = isWaiting ? Buffer.concat([this.unread, chunk]) : chunk;
     if (isWaiting || !this.readAtOnce()) return;
     this.handler.onWait();
-    this.turns.add(() => {
+    this.turns.add(this.peer, () => {
       this.readSlice();
       if (this.unread.length > 0) return true;
       this.handler.onRead();
--- a/src/gateway/sending/answer-stream.ts
+++ b/src/gateway/sending/answer-stream.ts
@@ -20,7 +20,8 @@
   onTaken: (() => void) | undefined;
 
   constructor(private readonly held: HeldBytes) {
-    super();
+    // Asks for more only when all has been taken, so that what waits is joined and counted.
+    super({ highWaterMark: 1 });
   }
 
   /** Whether so much waits to be passed on that no more is to be read. */
--- a/src/gateway/sending/upstream-connection.ts
+++ b/src/gateway/sending/upstream-connection.ts
@@ -112,7 +112,7 @@
       onBody: (bytes, start, end) => this.onBody(bytes, start, end),
       onEnd: (hasMore) => this.onEnd(hasMore),
     });
-    this.input = new AnswerInput(context.turns, {
+    this.input = new AnswerInput(`${peer.kind} ${peer.id}`, context.turns, {
       parse: (slice, moreFollows) => this.parse(slice, moreFollows),
       onWait: () => this.socket.pause(),
       onRead: () => this.onInputRead(),
--- a/test/core/memory/memory-account.test.ts
+++ b/test/core/memory/memory-account.test.ts
@@ -77,6 +77,29 @@
     expect(account.isWithinShare(b, 0)).toEqual(false);
   });
 
+  /** Guards against requests that run and are given up for new ones, as all callers hold alike. */
+  it('has nobody give way to a newcomer of a crowd of equals', () => {
+    const crowd = Object.fromEntries(Array.from({ length: 90 }, (_, i) => [`c${i}`, 1]));
+    const { account } = accountOf(100, crowd);
+    expect(account.hasRoomFor(1, true)).toEqual(false);
+    expect(account.holderInTheWay()).toEqual(undefined);
+    account.resize(holderOf('caller', 'large', 'large'), 6);
+    account.resize(holderOf('upstream', 'u', 'answers'), 9);
+    account.resize(holderOf('caller', 'late', 'late'), 1);
+    expect(account.holderInTheWay()?.name).toEqual('large');
+  });
+
+  /** Guards against a sound upstream that is blamed as many callers make all shares small. */
+  it('takes a peer for the cause only if it holds a tenth of the limit', () => {
+    const crowd = Object.fromEntries(Array.from({ length: 80 }, (_, i) => [`c${i}`, 1]));
+    const { account } = accountOf(100, crowd);
+    const sound = holderOf('upstream', 'sound', 'answers');
+    const faulty = holderOf('upstream', 'faulty', 'answers');
+    account.resize(sound, 9);
+    account.resize(faulty, 11);
+    expect([account.holdsMuch(sound), account.holdsMuch(faulty)]).toEqual([false, true]);
+  });
+
   /** Guards against a count that drifts when bytes are released twice or after a disconnection. */
   it('counts back to zero', () => {
     const { account, holders } = accountOf(100, { a: 10, b: 20 });
