--- a/src/core/memory/heap-share.ts
+++ b/src/core/memory/heap-share.ts
@@ -1,5 +1,5 @@
 /** Ratio of the heap that may hold what is kept for peers; the rest is for the process itself. */
-const PEER_HEAP_RATIO = 0.5;
+const PEER_HEAP_RATIO = 0.25;
 /** Ratio of the heap in use from which the process is near its end. */
 const HEAP_SHORT_RATIO = 0.85;
 /** Bytes of the heap that a request takes beside its head: its objects, timers and signals. */
