--- a/src/gateway/memory/heap-guard.ts
+++ b/src/gateway/memory/heap-guard.ts
@@ -27,7 +27,7 @@
 
 /**
  * Watches the heap. The runtime ends a process whose heap is full without a line in the log; before
- * that, the largest holders give way, if much is held.
+ * that, the largest holders give way.
  */
 export class HeapGuard {
   private readonly timer: NodeJS.Timeout;
@@ -64,8 +64,7 @@
         limit,
         held: this.memory.total,
       });
-    // What fills the heap is garbage, or this process's own, while little is held.
-    if (!this.isShort || !this.memory.isMuchHeld) return;
+    if (!this.isShort) return;
     for (let i = 0; i < GIVEN_UP_PER_CHECK; i++) {
       if (!this.memory.giveWay('heap')) return;
     }
--- a/src/gateway/memory/host-memory.ts
+++ b/src/gateway/memory/host-memory.ts
@@ -91,11 +91,6 @@
     return this.account.total;
   }
 
-  /** Whether at least half of what may be held is. */
-  get isMuchHeld(): boolean {
-    return this.account.total >= this.limit / 2;
-  }
-
   /** Number of bytes that bytes of the heap count for. */
   heapBytes(bytes: number): number {
     return Math.ceil(bytes * heapWeightOf(this.limit, this.heapLimit));
