Test clients that send ahead, read nothing or hold connections, at every port

The tests start one gateway on loopback with a heap of 40 MB, 160 MB of memory and 500 descriptors in its settings, let 20 to 100 clients send ahead for 3 s (600 connections where only connections are held), and check that the process lives, that its RSS and its sockets stay within the settings, and that one ordinary order is answered. Crowd and bounds are fixed here, before the product changes. They run one file at a time, after all other tests.

--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -8,6 +8,8 @@
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
 /** Files of test/process that run at once; each of them starts several processes. */
 const PROCESS_TEST_FILE_CONCURRENCY = 2;
+/** Those whose processes are pressed to their limits, which run one at a time and last. */
+const LIMIT_TEST_DIR = join('test', 'process', 'misbehaving-clients');
 /** Other test files that run at once. */
 const OTHER_TEST_FILE_CONCURRENCY = 6;
 
@@ -81,16 +83,19 @@
 const main = async (): Promise<void> => {
   const pattern = process.argv[2] ?? '';
   const files = testFiles('test').filter((file) => file.includes(pattern));
-  const isProcessTest = (file: string): boolean => file.startsWith(join('test', 'process'));
+  const isLimitTest = (file: string): boolean => file.startsWith(LIMIT_TEST_DIR);
+  const isProcessTest = (file: string): boolean =>
+    file.startsWith(join('test', 'process')) && !isLimitTest(file);
   const tally: Tally = { passed: [], failed: [], knownFailures: [] };
   const knownFailures = readKnownFailures();
   await runFiles(
-    files.filter((file) => !isProcessTest(file)),
+    files.filter((file) => !isProcessTest(file) && !isLimitTest(file)),
     OTHER_TEST_FILE_CONCURRENCY,
     knownFailures,
     tally,
   );
   await runFiles(files.filter(isProcessTest), PROCESS_TEST_FILE_CONCURRENCY, knownFailures, tally);
+  await runFiles(files.filter(isLimitTest), 1, knownFailures, tally);
   tally.knownFailures.forEach((id) => console.log(`KNOWN RED ${id}`));
   tally.failed.forEach((id) => console.log(`FAILED ${id}`));
   console.log(`${tally.passed.length} passed, ${tally.failed.length} failed`);
--- a/test/process/busy-gateways.ts
+++ b/test/process/busy-gateways.ts
@@ -26,6 +26,7 @@
 const ORDER_WORK_MS = 20;
 const ORDER_PAUSE_MS = 20;
 const ORDER_DEADLINE_MS = 4000;
+const ORDER_BODY = 'order';
 const SAMPLE_INTERVAL_MS = 100;
 const HEAD_END = '\r\n\r\n';
 const REQUEST_ID = /^x-redwingmount-request-id: *(.*)$/im;
@@ -96,7 +97,28 @@
 /** How the upstreams of the safe service answer; number 0 is the faulty one of most cases. */
 export type Respond = (request: RawRequest, socket: Socket, upstream: number) => void;
 
-/** Two gateways of 350 MB with three upstreams of each of two services. */
+/** Limits of the gateways, and times; the defaults are those of the deployments. */
+export interface BusyGatewayOptions {
+  readonly gatewayCount?: number;
+  /** Limit of the heap in MiB; by default that of the run line. */
+  readonly heapMb?: number;
+  /** Memory in MiB that the settings allow the process. */
+  readonly memoryMb?: number;
+  /** Number of descriptors that the settings allow the process; not stated by default. */
+  readonly maxFds?: number;
+  readonly routeTimeoutMs?: number;
+  /** Time in milliseconds that an order takes at its upstream. */
+  readonly orderWorkMs?: number;
+}
+
+const ROUTE_TIMEOUT_MS = 3000;
+
+const nodeFlags = (heapMb: number | undefined): readonly string[] =>
+  heapMb === undefined
+    ? deployedNodeFlags()
+    : deployedNodeFlags().map((flag) => flag.replace(/(old-space-size)=.*/, `$1=${heapMb}`));
+
+/** Gateways with three upstreams of each of two services; by default two gateways of 350 MB. */
 export class BusyGateways {
   private constructor(
     private readonly dir: string,
@@ -107,7 +129,13 @@
   ) {}
 
   /** Starts all; the path `/read/` is safe and goes to `respond`, `/orders/` is unsafe and sound. */
-  static async start(respond: Respond): Promise<BusyGateways> {
+  static async start(respond: Respond, options: BusyGatewayOptions = {}): Promise<BusyGateways> {
+    const {
+      memoryMb = HOST_MEMORY_MB,
+      maxFds,
+      routeTimeoutMs: timeoutMs = ROUTE_TIMEOUT_MS,
+    } = options;
+    const addresses = ADDRESSES.slice(0, options.gatewayCount);
     const dir = await mkdtemp(join(tmpdir(), 'redwingmount-busy-'));
     const store = await startStore();
     const ports = await reservePorts(5);
@@ -123,13 +151,13 @@
         respond: ({ id }: RawRequest, socket: Socket): void => {
           setTimeout(() => {
             socket.write(`${answerHead(id, 'Content-Length: 2\r\n')}ok`);
-          }, ORDER_WORK_MS);
+          }, options.orderWorkMs ?? ORDER_WORK_MS);
         },
       })),
     ];
     const config = configOf(1, [
-      routeOf('/read/', 'safe', { service: 'read', timeoutMs: 3000 }),
-      routeOf('/orders/', 'unsafe', { service: 'orders', timeoutMs: 3000 }),
+      routeOf('/read/', 'safe', { service: 'read', timeoutMs }),
+      routeOf('/orders/', 'unsafe', { service: 'orders', timeoutMs }),
     ]) as { services: object[]; limits: object };
     config.services = ['read', 'orders'].map((name) => ({
       name,
@@ -150,18 +178,21 @@
       });
     }
     const gateways: ManagedProcess[] = [];
-    for (const address of ADDRESSES) {
+    for (const address of addresses) {
       const file = join(dir, `${address}.toml`);
-      const seeds = ADDRESSES.map((seed) => `${seed}:${ports}`);
+      const seeds = addresses.map((seed) => `${seed}:${ports}`);
       const text = settingsText(ports, store.port, seeds)
         .replaceAll('"127.0.0.1:', `"${address}:`)
         .replace('ip = "127.0.0.1"', `ip = "${address}"`)
         .replace('"edge-1"', `"edge-${gateways.length + 1}"`)
         .replace(/seeds = .*/, `seeds = ${JSON.stringify(seeds)}`)
         .replace(`"${address}:${store.port}"`, `"127.0.0.1:${store.port}"`);
-      await writeFile(file, `${text}\n[limits]\nmemoryMb = ${HOST_MEMORY_MB}\n`);
+      const limits = [`memoryMb = ${memoryMb}`, ...(maxFds ? [`maxFds = ${maxFds}`] : [])];
+      await writeFile(file, `${text}\n[limits]\n${limits.join('\n')}\n`);
       const env = { REDWINGMOUNT_NODE_FILE: file };
-      gateways.push(new ManagedProcess(address, [...deployedNodeFlags(), GATEWAY_PROGRAM], env));
+      gateways.push(
+        new ManagedProcess(address, [...nodeFlags(options.heapMb), GATEWAY_PROGRAM], env),
+      );
     }
     await Promise.all(gateways.map((gateway) => gateway.waitForLine(/"event":"ready"/)));
     return new BusyGateways(dir, store, gateways, ports, upstreams);
@@ -180,7 +211,7 @@
 
   /** Opens a raw connection to a gateway and writes `text`; errors are ignored. */
   connect(gateway: number, text: string, portOffset = 0): Socket {
-    const socket = net.connect(this.ports + portOffset, ADDRESSES[gateway % ADDRESSES.length]);
+    const socket = net.connect(this.ports + portOffset, ADDRESSES[gateway % this.gateways.length]);
     socket.on('error', () => {});
     socket.write(text);
     return socket;
@@ -197,6 +228,36 @@
     return `${method} ${path} HTTP/1.1\r\nHost: ${HOST}\r\nX-Redwingmount-Request-Id: ${id}\r\nX-Redwingmount-Deadline-Ms: ${deadlineMs}\r\n${more}\r\n`;
   }
 
+  /** Sends one order on a connection of its own; returns its status, or how its connection failed. */
+  order(id: string, deadlineMs: number): Promise<number | string> {
+    return new Promise((resolve) => {
+      const req = http.request(this.orderOptions(0, id, deadlineMs));
+      req.on('response', (res) => {
+        res.resume();
+        res.on('end', () => resolve(res.statusCode ?? 0));
+        res.on('error', (err) => resolve(err.message));
+      });
+      req.on('error', (err) => resolve(err.message));
+      req.end(ORDER_BODY);
+    });
+  }
+
+  private orderOptions(caller: number, id: string, deadlineMs: number): http.RequestOptions {
+    return {
+      agent: false,
+      host: ADDRESSES[caller % this.gateways.length],
+      port: this.ports,
+      method: 'POST',
+      path: '/orders/print',
+      headers: {
+        host: HOST,
+        'x-redwingmount-request-id': id,
+        'x-redwingmount-deadline-ms': String(deadlineMs),
+        'content-length': String(ORDER_BODY.length),
+      },
+    };
+  }
+
   /** Sends orders for some time. */
   async sendOrders(durationMs: number): Promise<OrderTally> {
     const endsAt = Date.now() + durationMs;
@@ -235,26 +296,14 @@
     id: string,
   ): Promise<'served' | 'refused' | 'lost' | 'not-sent'> {
     return new Promise((resolve) => {
-      const req = http.request({
-        agent,
-        host: ADDRESSES[caller % ADDRESSES.length],
-        port: this.ports,
-        method: 'POST',
-        path: '/orders/print',
-        headers: {
-          host: HOST,
-          'x-redwingmount-request-id': id,
-          'x-redwingmount-deadline-ms': String(ORDER_DEADLINE_MS),
-          'content-length': '5',
-        },
-      });
+      const req = http.request({ ...this.orderOptions(caller, id, ORDER_DEADLINE_MS), agent });
       req.on('response', (res) => {
         res.resume();
         res.on('end', () => resolve(res.statusCode === 200 ? 'served' : 'refused'));
         res.on('error', () => resolve('lost'));
       });
       req.on('error', () => resolve(req.reusedSocket ? 'lost' : 'not-sent'));
-      req.end('order');
+      req.end(ORDER_BODY);
     });
   }
 
