Parse a request only when its connection may take it, at every port

What callers saw: clients that send requests ahead end a gateway, and the requests of all others are lost.

Cause: one read of 64 KiB holds 500 to 1,200 requests. The parser makes a request and a response of each before anything can refuse them, the limit of a connection (40) only left them unanswered, and all sockets that are readable did so in one turn of the event loop. None of this was in the account of memory. The small servers had no limit at all: subscriptions to the feeds and copies of the metrics piled up.

Change: all HTTP servers of a gateway are made by createRequestServer. The first request of a read is parsed at once; the next one of that connection in its turn, when the one before is served and fewer than the limit are unanswered (40 for callers, who are disconnected behind them as before; 1 at the other ports). One such request is parsed in a turn of the event loop for all connections together, round robin. Answers of the small servers count until they are taken.

--- a/src/gateway/arriving/body-reader.ts
+++ b/src/gateway/arriving/body-reader.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '../../ports';
 
 import type { Holding } from '../memory';
-import { inputOf } from './sliced-input';
+import { inputOf } from './request-server';
 
 /** Size in bytes up to which a body always gets memory. */
 const SMALL_BODY_BYTES = 64 * 1024;
@@ -71,7 +71,6 @@
   /** Begins to read. */
   start(): void {
     const { req } = this;
-    inputOf(req.socket)?.startBody(this.declared);
     const end = (): void => {
       req.socket.destroy();
     };
--- a/src/gateway/arriving/caller-connection.ts
+++ b/src/gateway/arriving/caller-connection.ts
@@ -7,11 +7,12 @@
 import type { Clock } from '../../ports';
 
 import type { Holding } from '../memory';
+import { inputOf } from './request-server';
 
 /** Number of requests of one connection that are served at the same time. */
 const MAX_SERVED_COUNT = 8;
 /** Number of unanswered requests after which a connection takes no more, and closes behind them. */
-const MAX_OPEN_COUNT = 40;
+export const MAX_OPEN_COUNT = 40;
 
 /**
  * A request of a caller and its response. It ends when the response is complete or the caller
@@ -195,7 +196,7 @@
     this.isClosing = true;
     exchange.req.once(
       'end',
-      guarded('caller-connection end', () => this.dropInput()),
+      guarded('caller-connection end', () => inputOf(this.socket)?.discard()),
     );
     return true;
   }
@@ -263,27 +264,15 @@
     return this.open.slice(at + 1).some(({ isServed }) => isServed);
   }
 
-  /** Whether no request was taken after that of this exchange. */
+  /** Whether no request was taken after that of this exchange, and none waits to be parsed. */
   isLast(exchange: CallerExchange): boolean {
-    return this.last === exchange;
+    return this.last === exchange && !inputOf(this.socket)?.hasPending;
   }
 
   /** Takes no further requests, and drops what is read from now on. */
   close(): void {
     this.isClosing = true;
-    this.dropInput();
-  }
-
-  /** Drops what is read from now on; a disconnection is still noticed. */
-  private dropInput(): void {
-    // Not while the server's parser is at work on what has been read.
-    setImmediate(
-      guarded('caller-connection timer', () => {
-        this.socket.removeAllListeners('data');
-        this.socket.on('data', () => {});
-        this.socket.resume();
-      }),
-    );
+    inputOf(this.socket)?.discard();
   }
 
   /** Takes no further requests, and gives up those behind an exchange that ends the connection. */
--- a/src/gateway/arriving/caller-server.ts
+++ b/src/gateway/arriving/caller-server.ts
@@ -1,4 +1,4 @@
-import http, { type IncomingMessage, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
 import { detached, guarded } from '../../adapters/guarded';
@@ -7,16 +7,14 @@
 import type { ArrivalTimes } from './arrival-times';
 import { BodyReader, type UnreadBody } from './body-reader';
 import { requestCostOf } from '../../core/memory';
-import { CallerConnection, CallerExchange } from './caller-connection';
+import { CallerConnection, CallerExchange, MAX_OPEN_COUNT } from './caller-connection';
 import type { GatewayContext } from '../context';
 import { discardAnswer } from '../sending/gateway-reply';
 import { onClientError } from './client-errors';
-import { closeIdleOnceRead } from './idle-timeout';
 import { STOP_REFUSAL } from './planned-stop';
 import { deadlineOf, decodeRequest, type CallerRequest } from '../request/caller-request';
 import type { RelayTerms } from '../request/relay-headers';
-import type { ServingTurns } from './serving-turns';
-import { inputOf } from './sliced-input';
+import { createRequestServer, inputOf, type ServerResources } from './request-server';
 import type { CallerReply } from './replies';
 import { ReplyWriter, type ReplyService } from './reply-writer';
 import { writeUnread } from './unread-reply';
@@ -27,8 +25,8 @@
   limits(): CallerLimits | undefined;
   /** Tells when requests arrived, at all servers of this gateway. */
   readonly arrivals: ArrivalTimes;
-  /** Serves the requests that are read, of all servers of this gateway, in turn. */
-  readonly turns: ServingTurns;
+  /** What the servers of this gateway share. */
+  readonly resources: ServerResources;
   /** Returns the time-out in milliseconds of a request's route; undefined if no route is known. */
   timeoutOf?(req: IncomingMessage): Millis | undefined;
   /** Serves a request that has been read completely. */
@@ -51,7 +49,7 @@
 
 /** HTTP server for callers: reads requests completely and writes the replies. */
 export class CallerServer {
-  readonly server: http.Server;
+  readonly server: Server;
 
   /** Requests whose head has been read and whose response is not closed. */
   private readonly open = new Set<CallerExchange>();
@@ -71,14 +69,10 @@
     private readonly service: CallerService,
   ) {
     this.replies = new ReplyWriter(context, service);
-    this.server = http.createServer({ noDelay: true, connectionsCheckingInterval: 500 });
-    this.server.on(
-      'request',
-      guarded(
-        'caller-server request',
-        (req: IncomingMessage, res: ServerResponse) => this.onRequest(req, res),
-        (req) => req.socket.destroy(),
-      ),
+    this.server = createRequestServer(
+      service.resources,
+      { place: 'caller-server request', maxOpenCount: MAX_OPEN_COUNT },
+      (req, res) => this.onRequest(req, res),
     );
     this.server.on(
       'clientError',
@@ -91,7 +85,6 @@
         (_, socket) => socket.destroy(),
       ),
     );
-    closeIdleOnceRead(this.server);
     this.applyLimits();
   }
 
@@ -133,7 +126,7 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): CallerExchange {
-    const { memory } = this.service;
+    const { memory } = this.service.resources;
     const headBytes = memory.heapBytes(requestCostOf(req.rawHeaders));
     const holding = memory.open(connection.peer, () => {
       const { openCount: open } = connection;
@@ -170,7 +163,10 @@
     const { arrivals } = this.service;
     const { clock, headerConventions } = this.context;
     const readAt = clock.now();
-    const arrivedAt = arrivals.arrivalAt(req.socket);
+    const arrivedAt = Math.min(
+      arrivals.arrivalAt(req.socket),
+      inputOf(req.socket)?.readAt ?? Number.POSITIVE_INFINITY,
+    );
     const timeout = this.service.timeoutOf?.(req) ?? Number.POSITIVE_INFINITY;
     const reader = new BodyReader(req, {
       holding: exchange.holding,
@@ -211,7 +207,10 @@
     exchange.onEnd(() => {
       waiting = undefined;
     });
-    this.service.turns.add(() => {
+    const input = inputOf(exchange.req.socket);
+    input?.onQueued();
+    this.service.resources.turns.add(() => {
+      input?.onServed();
       const served = waiting;
       if (!served) {
         this.logUndelivered(connection, id, { kind: 'nobody' });
--- a/src/gateway/arriving/idle-timeout.ts
+++ b/src/gateway/arriving/idle-timeout.ts
@@ -6,9 +6,10 @@
 /**
  * Has a server's idle connections closed at their time-out only if no request has arrived on them.
  * Load pattern: a host that was paused reads late, and timers run before the sockets are polled; a
- * request that came in time would be cut off unread.
+ * request that came in time would be cut off unread. `isAwaited` tells whether something that was
+ * read waits to be parsed.
  */
-export const closeIdleOnceRead = (server: Server): void => {
+export const closeIdleOnceRead = (server: Server, isAwaited: (socket: Socket) => boolean): void => {
   const destroy = (socket: Socket): void => {
     socket.destroy();
   };
@@ -21,7 +22,7 @@
         // Immediates run after the sockets are polled.
         setImmediate(
           guarded('idle-timeout timer', () => {
-            if (socket.bytesRead === bytesRead) socket.destroy();
+            if (socket.bytesRead === bytesRead && !isAwaited(socket)) socket.destroy();
           }),
         );
       },
--- a/src/gateway/arriving/relay-server.ts
+++ b/src/gateway/arriving/relay-server.ts
@@ -32,9 +32,8 @@
     this.reader = new CallerServer(context, {
       limits: () => service.limits(),
       isStopping: () => service.isStopping(),
-      memory: service.memory,
+      resources: service.resources,
       arrivals: service.arrivals,
-      turns: service.turns,
       timeoutOf: (req) => service.timeoutOf?.(req),
       serve: (request) => service.serve(request),
       relayTerms: (req) => decodeRelayTerms(req.headers),
--- a/src/gateway/arriving/reply-writer.ts
+++ b/src/gateway/arriving/reply-writer.ts
@@ -41,7 +41,7 @@
 export interface ReplyService {
   isStopping(): boolean;
   /** Counts what is buffered for callers, of all servers of this gateway. */
-  readonly memory: HostMemory;
+  readonly resources: { readonly memory: HostMemory };
   /** Sets headers of this gateway's own on a response before the reply is written. */
   setHeaders?(res: ServerResponse, reply: CallerReply): void;
 }
@@ -112,7 +112,7 @@
   ): Promise<void> {
     const { stream } = reply.body;
     let body = stream;
-    const holding = this.service.memory.open(connection.peer, () => {
+    const holding = this.service.resources.memory.open(connection.peer, () => {
       body.destroy(new Error('memory-short'));
     });
     exchange.onEnd(() => holding.close());
--- a/src/gateway/arriving/serving-turns.ts
+++ b/src/gateway/arriving/serving-turns.ts
@@ -13,7 +13,9 @@
 
 /**
  * Serves one request in each turn of the event loop, in the order in which they were read, and none
- * before the sockets have been polled again after its reading. Turns that take a connection, of which
+ * before the sockets have been polled again after its reading. As many are parsed of those that
+ * callers have sent ahead, one of each connection after the other, so that a caller with one request
+ * waits for no more than one of each other connection. Turns that take a connection, of which
  * each takes one at most, first go on until none waits. Load pattern: a busy host reads a request
  * when its caller has already left, as the disconnection is read after it; and where each turn serves
  * all that it reads, new connections wait unseen for ever longer turns, in place of their requests
@@ -24,6 +26,9 @@
 
   private readonly waiting: Waiting[] = [];
 
+  /** Parse one request each. */
+  private readonly readings: (() => boolean)[] = [];
+
   private isScheduled = false;
 
   private lastTakenCount = 0;
@@ -40,15 +45,24 @@
     this.schedule();
   }
 
+  /** Has `read` parse a request in its turn; it returns false if there is nothing to do any more. */
+  addReading(read: () => boolean): void {
+    this.readings.push(read);
+    this.schedule();
+  }
+
   private schedule(): void {
-    if (this.isScheduled || this.waiting.length === 0) return;
+    if (this.isScheduled || this.waiting.length + this.readings.length === 0) return;
     this.isScheduled = true;
     // Immediates run once in each turn, after the sockets are polled.
     setImmediate(
       guarded('serving-turns timer', () => {
         this.isScheduled = false;
         try {
-          if (!this.isTaking()) this.serveNext();
+          if (!this.isTaking()) {
+            this.serveNext();
+            this.readNext();
+          }
         } finally {
           this.turn += 1;
           this.schedule();
@@ -74,4 +88,11 @@
       if (first.serve()) return;
     }
   }
+
+  private readNext(): void {
+    for (;;) {
+      const read = this.readings.shift();
+      if (!read || read()) return;
+    }
+  }
 }
--- a/src/gateway/arriving/unused-body.ts
+++ b/src/gateway/arriving/unused-body.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { inputOf } from './sliced-input';
+import { inputOf } from './request-server';
 
 const hasBody = ({ headers }: IncomingMessage): boolean =>
   headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
@@ -16,5 +16,5 @@
     return;
   }
   res.setHeader('connection', 'close');
-  inputOf(req.socket)?.drop();
+  inputOf(req.socket)?.stop();
 };
--- a/src/gateway/feeds/feed-relay.ts
+++ b/src/gateway/feeds/feed-relay.ts
@@ -1,13 +1,13 @@
-import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
 import { detached, guarded } from '../../adapters/guarded';
 import { FeedHistory } from '../../core/gateway';
 import type { Millis, PositionedPage } from '../../model';
 import type { Telemetry } from '../../ports';
 
-import { closeIdleOnceRead } from '../arriving/idle-timeout';
+import { createRequestServer, type ServerResources } from '../arriving/request-server';
 import { ignoreBody } from '../arriving/unused-body';
-import type { Holding, HostMemory } from '../memory';
+import type { Holding } from '../memory';
 import { encodeFeedFrame, FEEDS, type FeedFrame, type FeedName } from './feed-frames';
 
 /** Path of the stream of frames; its last part is the version of the frames. */
@@ -22,6 +22,8 @@
 const MAX_QUEUED_BYTES = 4 * 2 ** 20;
 /** Maximum size in bytes of the headers of a peer's request, which may be a caller's. */
 const MAX_HEADER_BYTES = 128 * 1024;
+/** Number of requests of a peer at a time on one connection. */
+const MAX_OPEN_COUNT = 1;
 
 const OK = 200;
 const NOT_FOUND = 404;
@@ -90,22 +92,22 @@
 
   constructor(
     private readonly telemetry: Telemetry,
-    private readonly memory: HostMemory,
+    private readonly resources: ServerResources,
     private readonly ports: FeedRelayPorts,
   ) {
-    this.server = http.createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES },
-      guarded(
-        'feed-relay request',
-        (req: IncomingMessage, res: ServerResponse) => {
-          if (ports.onOtherRequest(req, res)) return;
-          ignoreBody(req, res);
-          detached('feed-relay', this.subscribe(req.url ?? '', res));
-        },
-        (req) => req.socket.destroy(),
-      ),
+    this.server = createRequestServer(
+      resources,
+      {
+        place: 'feed-relay request',
+        maxOpenCount: MAX_OPEN_COUNT,
+        maxHeaderSize: MAX_HEADER_BYTES,
+      },
+      (req, res) => {
+        if (ports.onOtherRequest(req, res)) return;
+        ignoreBody(req, res);
+        detached('feed-relay', this.subscribe(req.url ?? '', res));
+      },
     );
-    closeIdleOnceRead(this.server);
   }
 
   /** Number of gateways that read from this one. */
@@ -156,8 +158,9 @@
       res,
       isDeflated: params.has(DEFLATE_PARAM),
       sent: new Map(sent),
-      holding: this.memory.open({ kind: 'gateway', id: res.socket?.remoteAddress ?? '' }, () =>
-        res.destroy(),
+      holding: this.resources.memory.open(
+        { kind: 'gateway', id: res.socket?.remoteAddress ?? '' },
+        () => res.destroy(),
       ),
     });
   }
--- a/src/gateway/feeds/feeds.ts
+++ b/src/gateway/feeds/feeds.ts
@@ -14,7 +14,7 @@
 import type { Feed } from '../../ports';
 
 import type { GatewayContext } from '../context';
-import type { HostMemory } from '../memory';
+import type { ServerResources } from '../arriving/request-server';
 import type { FeedName } from './feed-frames';
 import { FeedRelay } from './feed-relay';
 import { FeedSubscription } from './feed-subscription';
@@ -66,8 +66,8 @@
 export interface FeedsService {
   readonly configFeed: Feed<KeyedRecord>;
   readonly upstreamFeed: Feed<KeyedRecord>;
-  /** Counts what is held for other gateways. */
-  readonly memory: HostMemory;
+  /** What the servers of this gateway share. */
+  readonly resources: ServerResources;
   onConfig(page: FeedPage<KeyedRecord>): void;
   onUpstreams(page: FeedPage<KeyedRecord>, timing: ReadTiming): void;
   /**
@@ -107,7 +107,7 @@
     service: FeedsService,
   ) {
     const { telemetry } = context;
-    this.relay = new FeedRelay(telemetry, service.memory, {
+    this.relay = new FeedRelay(telemetry, service.resources, {
       isInContact: () => this.isInContact,
       proveContact: () => this.proveContact(),
       onOtherRequest: (req, res) => service.onPeerRequest(req, res),
@@ -155,7 +155,7 @@
         },
       ),
     };
-    this.subscription = new FeedSubscription(telemetry, service.memory, {
+    this.subscription = new FeedSubscription(telemetry, service.resources.memory, {
       positions: () => this.positions,
       onPage: (feed, page) => this.followers[feed].onRelayedPage(page),
       onConnected: () => this.setRelayed(true),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,8 +21,8 @@
   type CallerService,
   PlannedStop,
   RelayServer,
+  type ServerResources,
   ServingTurns,
-  sliceInputs,
   WorkspaceAccess,
 } from './arriving';
 import { ConfigInForce, type RequestContext, RequestLog, RequestRouter } from './deciding';
@@ -123,8 +123,15 @@
     });
     const { memory } = ports;
     this.heapGuard = new HeapGuard(memory, telemetry);
-    const turns = new ReadingTurns(clock);
-    const connections = { idHeader: headerConventions.requestId, clock, memory, turns };
+    const pieceTurns = new ReadingTurns(clock);
+    const resources: ServerResources = {
+      clock,
+      memory,
+      pieceTurns,
+      turns: new ServingTurns(() => this.arrivals.takenCount),
+    };
+    const idHeader = headerConventions.requestId;
+    const connections = { idHeader, clock, memory, turns: pieceTurns };
     this.pool = new ConnectionPool('upstream', connections, (upstream, head) => {
       this.path.recordContact();
       announcements.read(upstream, head);
@@ -133,7 +140,7 @@
     this.feeds = new Feeds(context, {
       configFeed,
       upstreamFeed,
-      memory,
+      resources,
       onConfig: (page) => {
         this.inForce.apply(page.items.flatMap(ports.decodeConfig));
         this.fleet.freshness.onApplied(page.position);
@@ -165,9 +172,8 @@
     const callerService: CallerService = {
       limits: () => this.inForce.routes?.config.limits,
       isStopping: () => this.plannedStop.isAskedFor,
-      memory,
+      resources,
       arrivals: this.arrivals,
-      turns: new ServingTurns(() => this.arrivals.takenCount),
       timeoutOf: ({ headers, url }) =>
         this.inForce.routes?.find(headers.host ?? '', url ?? '/')?.timeout,
       serve: (request) => this.router.serve(request),
@@ -182,10 +188,7 @@
       callerService,
       () => this.inForce.routes?.config.version,
     );
-    [this.callers.server, this.feeds.server].forEach((server) => {
-      this.arrivals.watch(server);
-      sliceInputs(server, { turns, memory });
-    });
+    [this.callers.server, this.feeds.server].forEach((server) => this.arrivals.watch(server));
     this.relay = new PeerRelay(context, connections, {
       peersFor: (service) => this.fleet.relayPeersOf(service),
       config: () => this.inForce,
@@ -197,17 +200,17 @@
     this.servers = [
       {
         at: 'readiness',
-        server: createReadinessServer(ports.readinessCodec, () => this.isReady()),
+        server: createReadinessServer(resources, ports.readinessCodec, () => this.isReady()),
       },
       {
         at: 'directory',
-        server: createDirectoryServer(ports.directoryCodec, {
+        server: createDirectoryServer(resources, ports.directoryCodec, {
           ttlSeconds: Math.min(DIRECTORY_TTL_MS, settings.bounds.directoryTtl) / MILLIS_PER_SECOND,
           addressesFor: ({ host, dataCentre }) => this.fleet.addressesFor(dataCentre, host),
         }),
       },
     ];
-    this.metricsServer = createMetricsServer(() => ports.metrics());
+    this.metricsServer = createMetricsServer(resources, () => ports.metrics());
     const { freshness, quotas } = this.fleet;
     const access = new WorkspaceAccess(
       context,
--- a/src/gateway/small-servers.ts
+++ b/src/gateway/small-servers.ts
@@ -1,43 +1,38 @@
-import http, {
-  type IncomingMessage,
-  type RequestListener,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
+import type { RequestListener, Server, ServerResponse } from 'node:http';
 
-import { guarded } from '../adapters/guarded';
 import type { DirectoryCodec, DirectoryQuery, ReadinessCodec } from '../ports';
 
-import { ignoreBody, sliceInputs } from './arriving';
+import { createRequestServer, ignoreBody, inputOf, type ServerResources } from './arriving';
 
 const OK = 200;
 const NOT_FOUND = 404;
 const SERVICE_UNAVAILABLE = 503;
 
-/**
- * Creates a server in which an exception ends the connection of its request alone, and which reads
- * no more of a request than its head.
- */
-const createGuardedServer = (onRequest: RequestListener): Server => {
-  const server = http.createServer(
-    guarded(
-      'small-servers request',
-      (req: IncomingMessage, res: ServerResponse) => {
-        ignoreBody(req, res);
-        onRequest(req, res);
-      },
-      (req) => {
-        req.socket.destroy();
-      },
-    ),
+/** A server that answers requests one after the other, and reads no more of one than its head. */
+const createSmallServer = (resources: ServerResources, onRequest: RequestListener): Server =>
+  createRequestServer(
+    resources,
+    { place: 'small-servers request', maxOpenCount: 1 },
+    (req, res) => {
+      ignoreBody(req, res);
+      onRequest(req, res);
+    },
   );
-  sliceInputs(server);
-  return server;
+
+/** Writes an answer, which counts until its caller has taken it. */
+const writeText = (res: ServerResponse, contentType: string, text: string): void => {
+  if (res.socket) inputOf(res.socket)?.countAnswer(Buffer.byteLength(text));
+  res.writeHead(OK, { 'content-type': contentType });
+  res.end(text);
 };
 
 /** Creates the server for readiness checks: 200 if this gateway takes callers, otherwise 503. */
-export const createReadinessServer = (codec: ReadinessCodec, isReady: () => boolean): Server =>
-  createGuardedServer((req, res) => {
+export const createReadinessServer = (
+  resources: ServerResources,
+  codec: ReadinessCodec,
+  isReady: () => boolean,
+): Server =>
+  createSmallServer(resources, (req, res) => {
     if (!codec.isReadinessRequest(req.url ?? '')) res.statusCode = NOT_FOUND;
     else res.statusCode = isReady() ? OK : SERVICE_UNAVAILABLE;
     res.end();
@@ -52,8 +47,12 @@
 }
 
 /** Creates the directory server, which tells callers the gateways to connect to. */
-export const createDirectoryServer = (codec: DirectoryCodec, service: DirectoryService): Server =>
-  createGuardedServer((req, res) => {
+export const createDirectoryServer = (
+  resources: ServerResources,
+  codec: DirectoryCodec,
+  service: DirectoryService,
+): Server =>
+  createSmallServer(resources, (req, res) => {
     const query = codec.decode(req.url ?? '');
     if (!query) {
       res.statusCode = NOT_FOUND;
@@ -66,18 +65,17 @@
       res.end();
       return;
     }
-    res.writeHead(OK, { 'content-type': 'application/json' });
-    res.end(codec.encode(addresses, service.ttlSeconds));
+    writeText(res, 'application/json', codec.encode(addresses, service.ttlSeconds));
   });
 
 /** Creates the server for metrics in the Prometheus text format. */
-export const createMetricsServer = (metrics: () => Promise<string>): Server =>
-  createGuardedServer((_, res) => {
+export const createMetricsServer = (
+  resources: ServerResources,
+  metrics: () => Promise<string>,
+): Server =>
+  createSmallServer(resources, (_, res) => {
     metrics().then(
-      (text) => {
-        res.writeHead(OK, { 'content-type': 'text/plain; version=0.0.4' });
-        res.end(text);
-      },
+      (text) => writeText(res, 'text/plain; version=0.0.4', text),
       () => res.destroy(),
     );
   });
--- a/test/adapters/guarded.test.ts
+++ b/test/adapters/guarded.test.ts
@@ -11,6 +11,7 @@
 import { listen } from '../../src/adapters/listen';
 import { BrokenCallbackLog } from '../../src/gateway/broken-callback-log';
 import { createDirectoryServer } from '../../src/gateway/small-servers';
+import { serverResources } from '../gateway/server-resources';
 import { recordingTelemetry } from '../gateway/harness';
 
 describe('a guarded callback', () => {
@@ -55,7 +56,8 @@
       },
       encode: () => ({ type: 'text/plain', body: '' }),
     };
-    const server = createDirectoryServer(codec as never, { ttlSeconds: 1, addressesFor: () => [] });
+    const service = { ttlSeconds: 1, addressesFor: () => [] };
+    const server = createDirectoryServer(serverResources(), codec as never, service);
     await listen(server, '127.0.0.1', 0);
     const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
     await expect(fetch(`${url}/spoilt`)).toBeRejected();
--- a/test/gateway/caller-server-scene.ts
+++ b/test/gateway/caller-server-scene.ts
@@ -7,11 +7,11 @@
 import { CallerServer } from '../../src/gateway/arriving/caller-server';
 import type { CallerRequest } from '../../src/gateway/request/caller-request';
 import { HostMemory } from '../../src/gateway/memory';
-import { ServingTurns } from '../../src/gateway/arriving/serving-turns';
 import type { CallerReply } from '../../src/gateway/arriving/replies';
 import type { AnswerBody } from '../../src/gateway/sending/exchange';
 
 import { recordingTelemetry, settingsText } from './harness';
+import { serverResources } from './server-resources';
 
 /** With a quarter for buffers the limit is 1 MB, and reading pauses at half of that. */
 export const HOST_MEMORY_BYTES = 4e6;
@@ -95,9 +95,9 @@
   /** Answers requests by id that have no reply yet. */
   private readonly answers = new Map<string, (body?: AnswerBody) => void>();
 
-  constructor() {
+  constructor(memoryBytes = HOST_MEMORY_BYTES) {
     const parsed = parseSettings('test', settingsText(8000, 9000)).unsafeCoerce();
-    const settings = { ...parsed, limits: { ...parsed.limits, memoryBytes: HOST_MEMORY_BYTES } };
+    const settings = { ...parsed, limits: { ...parsed.limits, memoryBytes } };
     const { telemetry } = this;
     this.memory = new HostMemory({ settings, telemetry, clock: systemClock });
     this.arrivals = new ArrivalTimes({ clock: systemClock, telemetry });
@@ -106,9 +106,8 @@
       {
         limits: () => LIMITS,
         isStopping: () => false,
-        memory: this.memory,
+        resources: serverResources(this.memory),
         arrivals: this.arrivals,
-        turns: new ServingTurns(),
         serve: (request) => this.serve(request),
       },
     );
--- a/test/gateway/feed-reader.ts
+++ b/test/gateway/feed-reader.ts
@@ -7,6 +7,7 @@
 
 import { recordingTelemetry } from './harness';
 import { hostMemory } from './host-memory';
+import { serverResources } from './server-resources';
 
 const ADDRESS = '127.0.0.1';
 
@@ -15,7 +16,7 @@
   closers: (() => void)[],
   memory = hostMemory(),
 ): Promise<{ readonly relay: FeedRelay; readonly port: number; readonly reader: Member }> => {
-  const relay = new FeedRelay(recordingTelemetry(), memory, {
+  const relay = new FeedRelay(recordingTelemetry(), serverResources(memory), {
     isInContact: () => true,
     proveContact: () => Promise.resolve(),
     onOtherRequest: () => false,
--- a/test/gateway/feeds.test.ts
+++ b/test/gateway/feeds.test.ts
@@ -24,6 +24,7 @@
 
 import { httpGet, recordingTelemetry, settingsText } from './harness';
 import { hostMemory } from './host-memory';
+import { serverResources } from './server-resources';
 
 const ADDRESSES = ['127.0.0.1', '127.0.0.2', '127.0.0.3', '127.0.0.4'];
 
@@ -73,7 +74,7 @@
       {
         configFeed: counted(configFeed(client)),
         upstreamFeed: counted(upstreamFeed(client)),
-        memory: hostMemory(),
+        resources: serverResources(),
         onPeerRequest: () => false,
         onConfig: () => {},
         maxProofWait: () => undefined,
@@ -203,7 +204,7 @@
       {
         configFeed: feed,
         upstreamFeed: feed,
-        memory: hostMemory(),
+        resources: serverResources(),
         onPeerRequest: () => false,
         onConfig: () => {},
         maxProofWait: () => undefined,
@@ -228,7 +229,7 @@
 
 describe('the server of the feeds', () => {
   it('answers 404 to what is no subscription', async () => {
-    const relay = new FeedRelay(recordingTelemetry(), hostMemory(), {
+    const relay = new FeedRelay(recordingTelemetry(), serverResources(), {
       isInContact: () => true,
       proveContact: () => Promise.resolve(),
       onOtherRequest: () => false,
--- a/test/gateway/memory.test.ts
+++ b/test/gateway/memory.test.ts
@@ -4,12 +4,12 @@
 
 import { systemClock } from '../../src/adapters';
 import { headerConventions, parseSettings } from '../../platform';
-import { ServingTurns } from '../../src/gateway/arriving/serving-turns';
 import { ArrivalTimes } from '../../src/gateway/arriving/arrival-times';
 import { CallerServer } from '../../src/gateway/arriving/caller-server';
 import { HostMemory } from '../../src/gateway/memory';
 
 import { recordingTelemetry, settingsText } from './harness';
+import { serverResources } from './server-resources';
 
 /** With a quarter for buffers the limit is 1 MB, and reading pauses at half of that. */
 const HOST_MEMORY_BYTES = 4e6;
@@ -47,8 +47,7 @@
     {
       limits: () => undefined,
       isStopping: () => false,
-      memory,
-      turns: new ServingTurns(),
+      resources: serverResources(memory),
       arrivals: new ArrivalTimes({ clock: systemClock, telemetry }),
       timeoutOf: () => timeout,
       serve: () => Promise.resolve({ kind: 'no-route' }),
--- a/test/gateway/sliced-input.test.ts
+++ b/test/gateway/request-input.test.ts
@@ -3,9 +3,6 @@
 import type { Socket } from 'node:net';
 import { afterEach, beforeEach, describe, it } from 'node:test';
 
-import { ReadingTurns } from '../../src/gateway/reading-turns';
-import { sliceInputs } from '../../src/gateway/arriving/sliced-input';
-
 import {
   answerOf,
   CallerServerScene,
@@ -47,9 +44,6 @@
 
   beforeEach(async () => {
     scene = new CallerServerScene();
-    // Time stands still, so that there is a turn to read in each turn of the event loop.
-    const { memory } = scene;
-    sliceInputs(scene.caller.server, { turns: new ReadingTurns({ now: () => 0 }), memory });
     piecesByTurn = [0];
     isCounting = true;
     bodies.clear();
--- a/test/gateway/serving-turns.test.ts
+++ b/test/gateway/serving-turns.test.ts
@@ -80,4 +80,23 @@
     expect(served.map(({ request }) => request)).toEqual([4, 5]);
     expect(served[0]?.turn).toEqual(2);
   });
+
+  it('parses one request in each turn beside the one that it serves, in order', async () => {
+    const clock = countTurns();
+    const serving = new ServingTurns();
+    const parsed: { readonly request: number; readonly turn: number }[] = [];
+    for (let i = 0; i < 6; i++) {
+      serving.add(() => true);
+      serving.addReading(() => {
+        // One whose connection has closed has nothing to be parsed.
+        if (i === 2) return false;
+        parsed.push({ request: i, turn: clock.now() });
+        return true;
+      });
+    }
+    await turns(40);
+    clock.stop();
+    expect(parsed.map(({ request }) => request)).toEqual([0, 1, 3, 4, 5]);
+    expect(new Set(parsed.map(({ turn }) => turn)).size).toEqual(5);
+  });
 });
--- a/test/gateway/silent-store.test.ts
+++ b/test/gateway/silent-store.test.ts
@@ -14,6 +14,7 @@
 
 import { recordingTelemetry, settingsText } from './harness';
 import { hostMemory } from './host-memory';
+import { serverResources } from './server-resources';
 
 /** Longest delay in milliseconds between a failed read and the next one. */
 const RETRY_DELAY_MS = 250;
@@ -44,7 +45,7 @@
         {
           configFeed: hangingFeed('config'),
           upstreamFeed: hangingFeed('upstreams'),
-          memory: hostMemory(),
+          resources: serverResources(),
           onPeerRequest: () => false,
           onConfig: () => {},
           maxProofWait: () => undefined,
