Keep the number of accepted connections within the host's descriptors

Cause: nothing counted connections, and `maxFds` of the settings was read nowhere.

Change: the settings' `maxFds`, less the 200 that the platform sets aside for files, is a limit of sockets (`HostLimits.maxSockets`; none if the settings don't say). Three quarters of them are for accepted connections at all ports together, less what the gateway itself has opened beyond its quarter. Beyond that a new connection takes the place of the longest idle one, else of one whose client has taken nothing of an answer for a second; if all have requests at work, the new one is closed. Metric `connections_closed_for_descriptors`.

--- a/src/gateway/arriving/request-server.ts
+++ b/src/gateway/arriving/request-server.ts
@@ -9,11 +9,15 @@
 import { guarded } from '../../adapters/guarded';
 import type { Millis } from '../../model';
 
+import type { HostConnections } from '../connections';
 import { closeIdleOnceRead } from './idle-timeout';
 import { RequestInput, type RequestInputOptions } from './request-input';
 
 /** What the HTTP servers of a gateway share. */
-export type ServerResources = Omit<RequestInputOptions, 'maxOpenCount'>;
+export interface ServerResources extends Omit<RequestInputOptions, 'maxOpenCount'> {
+  /** Counts the connections of all servers. */
+  readonly connections: HostConnections;
+}
 
 /** How an HTTP server reads requests. */
 export interface RequestServerOptions {
@@ -53,7 +57,7 @@
  * `onRequest` ends the connection of its request alone.
  */
 export const createRequestServer = (
-  resources: ServerResources,
+  { connections, ...shared }: ServerResources,
   { place, maxOpenCount, maxHeaderSize }: RequestServerOptions,
   onRequest: RequestListener,
 ): Server => {
@@ -65,9 +69,11 @@
       const { socket } = req;
       const input = inputOf(socket);
       input?.onHead(req);
+      connections.begin(socket);
       this.once(
         'close',
         guarded('request-server response', () => {
+          connections.end(socket);
           input?.onResponseEnd();
         }),
       );
@@ -108,14 +114,16 @@
     guarded(
       'request-server connection',
       (socket: Socket) => {
-        const input = new RequestInput(socket, { ...resources, maxOpenCount });
+        const input = new RequestInput(socket, { ...shared, maxOpenCount });
         inputs.set(socket, input);
         socket.once(
           'close',
           guarded('request-server close', () => {
             input.drop();
+            connections.remove(socket);
           }),
         );
+        connections.add(socket);
       },
       (socket) => socket.destroy(),
     ),
--- /dev/null
+++ b/src/gateway/connections/index.ts
@@ -0,0 +1,1 @@
+export * from './host-connections';
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,6 +29,7 @@
 import { Feeds, type ReadTiming, UpstreamRegistry } from './feeds';
 import { Fleet } from './peers';
 import { listenOnAll } from './listening';
+import { HostConnections } from './connections';
 import { HeapGuard, type HostMemory } from './memory';
 import { ReadingTurns } from './reading-turns';
 import { ServiceSchedulers } from './scheduling';
@@ -129,6 +130,10 @@
       memory,
       pieceTurns,
       turns: new ServingTurns(() => this.arrivals.takenCount),
+      connections: new HostConnections(
+        context,
+        () => this.pool.openCount + this.relay.connectionCount,
+      ),
     };
     const idHeader = headerConventions.requestId;
     const connections = { idHeader, clock, memory, turns: pieceTurns };
--- a/src/gateway/sending/connection-pool.ts
+++ b/src/gateway/sending/connection-pool.ts
@@ -48,6 +48,11 @@
   /** Number of connections opened so far. */
   connectCount = 0;
 
+  /** Number of connections that are open, idle or in use. */
+  get openCount(): number {
+    return this.open.size;
+  }
+
   constructor(
     private readonly kind: Extract<Peer['kind'], 'upstream' | 'gateway'>,
     private readonly context: ConnectionContext,
--- a/src/gateway/sending/peer-relay.ts
+++ b/src/gateway/sending/peer-relay.ts
@@ -99,6 +99,11 @@
     this.pool = new ConnectionPool('gateway', connections, () => {});
   }
 
+  /** Number of open connections to peers. */
+  get connectionCount(): number {
+    return this.pool.openCount;
+  }
+
   /** Offers the request to one peer after the other until one has taken it. */
   async run(relayed: RelayedRequest): Promise<RelayResult> {
     const { request, service } = relayed;
--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -75,6 +75,8 @@
   readonly megabitsPerSecond: number;
   /** Memory in bytes at which the process is killed; Infinity if the settings don't say. */
   readonly memoryBytes: number;
+  /** Number of sockets and pipes that the process may have; Infinity if the settings don't say. */
+  readonly maxSockets: number;
 }
 
 /** A gateway's settings, validated. */
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -276,6 +276,7 @@
     'cpuShare = 0.675',
     'cpuCores = 2',
     'linkMbps = 7.5',
+    'maxFds = 4100',
     '[platform]',
     'address = "10.200.1.7:8642"',
   ].join('\n');
@@ -290,6 +291,7 @@
       cores: 1.35,
       megabitsPerSecond: 7.5,
       memoryBytes: Infinity,
+      maxSockets: 3900,
     });
   });
 
