Take a status line that is not HTTP/1.1 with three digits for no answer

What callers saw: `HTTP/1.1 2000 OK`, `200.5 OK` and `200OK` reached them as 200, and a control byte in the reason or another version passed. A status of 000 was refused by the gateway, but passed on by the nodes of the project's own interface as an answer of status 0.

Cause: the library's expression for the status line accepts any text behind three digits; Node.js's client accepts 000 to 999, and the upstream client of the nodes checked nothing.

Change: AnswerParser, which reads answers of upstreams and of gateways that relay, parses the line itself: HTTP/1.1, a space, three digits, then the end or a space and a reason of printable bytes. The upstream client of the nodes takes a status outside of 200 to 599 for an answer that is not the upstream's. The store and the feeds are read by Node.js's client, whose parser refuses 2000 and 200.5; they are used with status 200 or 410 alone.

--- a/src/adapters/answer-check.ts
+++ b/src/adapters/answer-check.ts
@@ -18,6 +18,14 @@
   return chunked || res.headers['content-length'] !== undefined;
 };
 
+/** The range of statuses of answers that are not interim. */
+const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 599;
+
+/** Returns whether the status of the answer is one that may be passed on. */
+export const hasFinalStatus = ({ statusCode = 0 }: IncomingMessage): boolean =>
+  statusCode >= MIN_FINAL_STATUS && statusCode <= MAX_STATUS;
+
 /**
  * Returns whether the answer carries the id of another request. An upstream may leave the id out,
  * which counts as a match.
--- a/src/adapters/upstream-http.ts
+++ b/src/adapters/upstream-http.ts
@@ -12,7 +12,13 @@
 } from '../model';
 import type { Attempt, Clock, Payload, UpstreamClient } from '../ports';
 
-import { createDigestCheck, sha256DigestOf, isForAnotherRequest, isFramed } from './answer-check';
+import {
+  createDigestCheck,
+  hasFinalStatus,
+  isForAnotherRequest,
+  isFramed,
+  sha256DigestOf,
+} from './answer-check';
 import { forwardedHeaders, HEADER, toRawHeaders } from './headers';
 
 /** Time in milliseconds after which an unused connection is closed. */
@@ -142,7 +148,7 @@
       return { kind: 'failed', result: { kind: 'shed', cause }, ran: 'no' };
     }
     const { call } = progress;
-    if (isForAnotherRequest(res, call.id)) {
+    if (!hasFinalStatus(res) || isForAnotherRequest(res, call.id)) {
       req.destroy();
       return { kind: 'failed', result: { kind: 'mismatched' }, ran: 'maybe' };
     }
--- a/src/gateway/sending/answer-parser.ts
+++ b/src/gateway/sending/answer-parser.ts
@@ -34,9 +34,13 @@
 const MAX_CHUNK_LINE_BYTES = 1024;
 const CHUNK_SIZE_LINE = /^[0-9a-fA-F]{1,12}[ \t]*(;.*)?$/;
 const CONTENT_LENGTH = /^\d{1,15}$/;
+/** A status of three digits, behind which a space or the end of the line follows. */
+const STATUS_LINE = /^HTTP\/1\.1 (\d{3})(?: ([\t\x20-\x7e\x80-\xff]*))?$/;
 /** First digit of the interim statuses 1xx. */
 const INTERIM_CLASS = 1;
 const SWITCHING_PROTOCOLS = 101;
+/** Statuses whose answers have no body. */
+const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /** The range of statuses of answers that are not interim. */
 const MIN_FINAL_STATUS = 200;
@@ -58,7 +62,9 @@
   readonly offset: number;
   readonly end: number;
   readonly line: string;
+  readonly info: object;
   consumeLine(): string | undefined;
+  RESPONSE_LINE(): void;
   BODY_CHUNKHEAD(): void;
 }
 
@@ -66,6 +72,19 @@
 
 const stateOf = (parser: LibraryParser): ParserState => parser as unknown as ParserState;
 
+/** Parses a status line strictly; the library accepts any text behind the digits of the status. */
+const readStatusLine = (parser: ParserState): void => {
+  const line = parser.consumeLine();
+  if (!line) return;
+  const [, digits, statusMessage = ''] = STATUS_LINE.exec(line) ?? [];
+  if (digits === undefined) throw new Error('malformed status line');
+  const statusCode = Number(digits);
+  Object.assign(parser.info, { versionMajor: 1, versionMinor: 1, statusCode, statusMessage });
+  const isInterim = Math.floor(statusCode / 100) === INTERIM_CLASS;
+  const hasNoBody = isInterim || BODYLESS_STATUSES.has(statusCode);
+  Object.assign(parser, { state: 'HEADER', ...(hasNoBody ? { body_bytes: 0 } : {}) });
+};
+
 /** Parses the size line of a chunk strictly; the library accepts any text as a size. */
 const readChunkHead = (parser: ParserState): void => {
   const line = parser.consumeLine();
@@ -82,6 +101,7 @@
 const createParser = (): LibraryParser => {
   const parser = new HTTPParser(HTTPParser.RESPONSE);
   const state = stateOf(parser);
+  state.RESPONSE_LINE = () => readStatusLine(state);
   state.BODY_CHUNKHEAD = () => readChunkHead(state);
   return parser;
 };
@@ -98,9 +118,6 @@
 export const headersOf = (rawHeaders: readonly string[], name: string): readonly string[] =>
   rawHeaders.filter((_, i) => i % 2 === 1 && rawHeaders[i - 1]?.toLowerCase() === name);
 
-/** Statuses whose answers have no body. */
-const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 const hasTransferCoding = (rawHeaders: readonly string[]): boolean =>
   headerOf(rawHeaders, 'transfer-encoding') !== undefined;
 
--- a/test/adapters/upstream-http.test.ts
+++ b/test/adapters/upstream-http.test.ts
@@ -99,6 +99,14 @@
     expect(attempt).toEqual({ kind: 'failed', result: { kind: 'mismatched' }, ran: 'maybe' });
   });
 
+  ['000 OK', '099 OK', '600 OK', '999 OK'].forEach((status) => {
+    it(`reports an answer of status ${status} as mismatched`, async () => {
+      const head = responseHead(status, 'content-length: 5');
+      const attempt = await attemptAt(await startUpstream(`${head}paid!`));
+      expect(attempt).toEqual({ kind: 'failed', result: { kind: 'mismatched' }, ran: 'maybe' });
+    });
+  });
+
   it('never passes on the complete body of an answer whose digest does not match', async () => {
     const wrong = `content-digest: sha-256=:${Buffer.alloc(32).toString('base64')}:`;
     const upstream = await startUpstream(
--- a/test/gateway/answer-parser.test.ts
+++ b/test/gateway/answer-parser.test.ts
@@ -89,6 +89,24 @@
     'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\na\r\n0\r\n\r\n',
     'HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n',
     'SSH-2.0-x\r\n\r\n',
+    ...[
+      'HTTP/1.1 000 OK',
+      'HTTP/1.1 099 OK',
+      'HTTP/1.1 600 OK',
+      'HTTP/1.1 20 OK',
+      'HTTP/1.1 2000 OK',
+      'HTTP/1.1 200.5 OK',
+      'HTTP/1.1 200OK',
+      'HTTP/1.1 200\tOK',
+      'HTTP/1.1  200 OK',
+      'HTTP/1.1 -200 OK',
+      'HTTP/1.1 2e2 OK',
+      'HTTP/1.1 200 O\0K',
+      'HTTP/1.0 200 OK',
+      'HTTP/2.0 200 OK',
+      'HTTP/01.1 200 OK',
+      'http/1.1 200 OK',
+    ].map((line) => `${line}\r\nContent-Length: 0\r\n\r\n`),
     `HTTP/1.1 200 OK\r\nX: ${'y'.repeat(100_000)}\r\n\r\n`,
   ];
   malformed.forEach((bytes) => {
@@ -98,6 +116,13 @@
     });
   });
 
+  it('may lack a reason', () => {
+    const lines = ['HTTP/1.1 200', 'HTTP/1.1 404 ', 'HTTP/1.1 503 Zu viel \xe4'];
+    const bytes = lines.map((line) => `${line}\r\nContent-Length: 0\r\n\r\n`).join('');
+    const { heads } = parse([Buffer.from(bytes, 'latin1')]);
+    expect(heads.map(({ status }) => status)).toEqual([200, 404, 503]);
+  });
+
   it('leave out interim answers, and mark those that end with their connection', () => {
     const result = parse([
       Buffer.from('HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nrest'),
