--- a/test/soak/gateways/misbehaving-peers.ts
+++ b/test/soak/gateways/misbehaving-peers.ts
@@ -39,7 +39,17 @@
   metrics: [4, '/metrics'],
 };
 /** Numbers of connections to one gateway. */
-const CROWD_SIZES = { pieces: 60, endless: 8, silent: 30, bodies: 4, heads: 75, held: 150 };
+const CROWD_SIZES = {
+  pieces: 60,
+  endless: 8,
+  silent: 30,
+  bodies: 4,
+  heads: 75,
+  held: 150,
+  ahead: 40,
+};
+/** A path that no route has. */
+const UNROUTED_PATH = '/none/x';
 const STRANGER_COUNT = 2;
 /** Time in milliseconds after its answer in which a small port must close a stranger's connection. */
 const STRANGER_TIMEOUT_MS = 1000;
@@ -148,6 +158,19 @@
       }
       case 'broken-stream':
         return this.breakStreams(fault.end, host, `${fault.gateway} ${host.life}`, durationMs);
+      case 'requests-ahead': {
+        const { port, doStrangersRead } = fault;
+        const [offset, path] = port === 'callers' ? [0, UNROUTED_PATH] : STRANGER_PORTS[port];
+        const strangers = new Crowd(this.port + offset, host.address);
+        strangers.open(CROWD_SIZES.ahead, (socket) => {
+          if (doStrangersRead) socket.resume();
+          else socket.pause();
+          writeWithoutEnd(socket, `GET ${path} HTTP/1.1\r\nHost: ${HOST_NAME}\r\n\r\n`);
+        });
+        await sleep(durationMs);
+        strangers.leave();
+        return undefined;
+      }
       case 'strangers':
         return this.sendStrangers(fault.port, host, durationMs);
     }
--- a/test/soak/gateways/peer-faults.ts
+++ b/test/soak/gateways/peer-faults.ts
@@ -32,6 +32,13 @@
   | { readonly kind: 'broken-stream'; readonly gateway: number; readonly end: StreamEnd }
   /** Strangers send bodies in pieces of one byte without end to a small port. */
   | { readonly kind: 'strangers'; readonly gateway: number; readonly port: StrangerPort }
+  /** Strangers send requests ahead without end, and read their answers or not. */
+  | {
+      readonly kind: 'requests-ahead';
+      readonly gateway: number;
+      readonly port: StrangerPort | 'callers';
+      readonly doStrangersRead: boolean;
+    }
   /** The store writes its answers in pieces of one byte, or such pieces without end. */
   | { readonly kind: 'store-in-pieces' | 'endless-store' };
 
@@ -54,6 +61,7 @@
   'held-answers',
   'broken-stream',
   'strangers',
+  'requests-ahead',
   'store-in-pieces',
   'endless-store',
 ];
@@ -99,6 +107,10 @@
         return { kind, gateway, end: pick(STREAM_ENDS) };
       case 'strangers':
         return { kind, gateway, port: pick(STRANGER_PORTS) };
+      case 'requests-ahead': {
+        const port = pick([...STRANGER_PORTS, 'callers' as const, 'callers' as const]);
+        return { kind, gateway, port, doStrangersRead: upTo(2) === 0 };
+      }
       case 'answers-in-pieces':
       case 'stopped-pieces':
       case 'bodies-in-pieces':
