Measure orders beside requests that are sent ahead

bench:peer-bytes gains four cases: 40 callers, 200 strangers at the readiness port and at the directory, 100 at the port for peers, who send requests ahead without end and read nothing.

--- a/bench/peer-bytes.ts
+++ b/bench/peer-bytes.ts
@@ -82,6 +82,17 @@
     }
   };
 
+/** Has strangers send requests ahead without end to a port of each gateway, and read nothing. */
+const sendersAhead =
+  (count: number, portOffset: number, path: string) =>
+  (busy: BusyGateways, sockets: Socket[]): void => {
+    for (let i = 0; i < count; i++) {
+      const socket = busy.connect(i, '', portOffset);
+      sockets.push(socket.pause());
+      writeWithoutEnd(socket, `GET ${path} HTTP/1.1\r\nHost: shop.example\r\n\r\n`);
+    }
+  };
+
 const CASES: Readonly<Record<string, Case>> = {
   none: {},
   'upstream pieces, 4 callers': { respond: faultyOf(1, piecesWithoutEnd), disturb: readers(4) },
@@ -114,6 +125,14 @@
   'strangers at readiness': { disturb: strangers(PORTS.readiness, '/redwingmount/ready') },
   'strangers at directory': { disturb: strangers(PORTS.directory, '/redwingmount/directory') },
   'strangers at peers': { disturb: strangers(PORTS.peers, '/feeds/2') },
+  'requests ahead, 40 callers': { disturb: sendersAhead(40, 0, '/none/x') },
+  'requests ahead at readiness, 200 strangers': {
+    disturb: sendersAhead(200, PORTS.readiness, '/redwingmount/ready'),
+  },
+  'requests ahead at directory, 200 strangers': {
+    disturb: sendersAhead(200, PORTS.directory, '/none'),
+  },
+  'requests ahead at peers, 100 strangers': { disturb: sendersAhead(100, PORTS.peers, '/none') },
   'flood of three, 120 callers': {
     respond: faultyOf(3, piecesWithoutEnd),
     disturb: readers(120),
